--- /dev/null
+++ b/src/cicadafront/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet for back ends that suffer gray failures."""
--- /dev/null
+++ b/src/cicadafront/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The role beside a target: slots, queue and connections."""
--- /dev/null
+++ b/src/cicadafront/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/src/cicadafront/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' configuration: model, merge, storage and history."""
--- /dev/null
+++ b/src/cicadafront/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: composition root and supervisor tree."""
--- /dev/null
+++ b/src/cicadafront/edge/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP server for callers."""
--- /dev/null
+++ b/src/cicadafront/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets, and the load tool."""
--- /dev/null
+++ b/src/cicadafront/health/__init__.py
@@ -0,0 +1,1 @@
+"""Gray failure detection, ejection permits and crash suspects."""
--- /dev/null
+++ b/src/cicadafront/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Shard ownership, rates and idempotency records."""
--- /dev/null
+++ b/src/cicadafront/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances and targets that this instance knows of."""
--- /dev/null
+++ b/src/cicadafront/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Links between instances."""
--- /dev/null
+++ b/src/cicadafront/peer/codec.py
@@ -0,0 +1,286 @@
+"""Conversion between frames on the wire and attrs data."""
+
+import pathlib
+
+import attrs
+import capnp
+
+from cicadafront import errors, model
+from cicadafront.peer import exchange
+
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+
+
+class FrameError(errors.CicadafrontError):
+    """Bytes that are no valid frame."""
+
+    code = "frame_invalid"
+
+
+@attrs.frozen
+class Hello:
+    """First frame of each side of a link."""
+
+    instance: str
+    incarnation: int
+    version: int
+
+
+@attrs.frozen
+class Open:
+    """Starts a stream."""
+
+    id: int
+    request: exchange.OpenRequest
+
+
+@attrs.frozen
+class Head:
+    """Head of an answer."""
+
+    id: int
+    head: model.ResponseHead
+    load: exchange.Load
+
+
+@attrs.frozen
+class Data:
+    """Piece of a body."""
+
+    id: int
+    data: bytes
+
+
+@attrs.frozen
+class End:
+    """End of a body."""
+
+    id: int
+
+
+@attrs.frozen
+class Reset:
+    """Ends a stream with an error."""
+
+    id: int
+    error: errors.RequestError
+    load: exchange.Load
+
+
+@attrs.frozen
+class Window:
+    """Reports body bytes that the receiver has passed on."""
+
+    id: int
+    count: int
+
+
+@attrs.frozen
+class Ping:
+    """Heartbeat."""
+
+    token: int
+
+
+@attrs.frozen
+class Pong:
+    """Answer to a heartbeat."""
+
+    token: int
+
+
+@attrs.frozen
+class Call:
+    """Request of one part to its counterpart on the peer."""
+
+    id: int
+    method: str
+    body: bytes
+
+
+@attrs.frozen
+class Reply:
+    """Answer to a call; the code is empty on success."""
+
+    id: int
+    code: str
+    body: bytes
+
+
+Frame = (
+    Hello
+    | Open
+    | Head
+    | Data
+    | End
+    | Reset
+    | Window
+    | Ping
+    | Pong
+    | Call
+    | Reply
+)
+
+
+def _headers(headers: model.Headers) -> list[dict[str, bytes]]:
+    return [{"name": name, "value": value} for name, value in headers]
+
+
+def _open_fields(request: exchange.OpenRequest) -> dict[str, object]:
+    return {
+        "method": request.head.method,
+        "path": request.head.path,
+        "headers": _headers(request.head.headers),
+        "account": request.account,
+        "service": request.service,
+        "target": request.target,
+        "timeoutMs": max(0, int(request.timeout * 1000)),
+        "repeatable": request.repeatable,
+        "traceparent": request.traceparent,
+        "attempt": request.attempt,
+        "weight": request.weight,
+        "fingerprint": request.fingerprint,
+        "relayTo": request.relay_to,
+    }
+
+
+def _reset_fields(frame: Reset) -> dict[str, object]:
+    error = frame.error
+    return {
+        "code": error.code,
+        "executed": error.executed is errors.Executed.UNKNOWN,
+        "message": error.message,
+        "status": error.status,
+        "retryAfterMs": int((error.retry_after or 0) * 1000),
+        "slotsInUse": frame.load.slots_in_use,
+        "queued": frame.load.queued,
+    }
+
+
+def _fields(frame: Frame) -> dict[str, object]:
+    match frame:
+        case Hello(instance, incarnation, version):
+            hello = {
+                "instance": instance,
+                "incarnation": incarnation,
+                "version": version,
+            }
+            return {"hello": hello}
+        case Open(id, request):
+            return {"id": id, "open": _open_fields(request)}
+        case Head(id, head, load):
+            fields = {
+                "status": head.status,
+                "headers": _headers(head.headers),
+                "slotsInUse": load.slots_in_use,
+                "queued": load.queued,
+            }
+            return {"id": id, "head": fields}
+        case Data(id, data):
+            return {"id": id, "data": data}
+        case End(id):
+            return {"id": id, "end": None}
+        case Reset(id):
+            return {"id": id, "reset": _reset_fields(frame)}
+        case Window(id, count):
+            return {"id": id, "window": count}
+        case Ping(token):
+            return {"ping": token}
+        case Pong(token):
+            return {"pong": token}
+        case Call(id, method, body):
+            return {"id": id, "call": {"method": method, "body": body}}
+        case Reply(id, code, body):
+            return {"id": id, "reply": {"code": code, "body": body}}
+
+
+def encode(frame: Frame) -> bytes:
+    """Returns the bytes of a frame without its length prefix."""
+    return _SCHEMA.Frame.new_message(**_fields(frame)).to_bytes()
+
+
+def _decode_headers(headers) -> model.Headers:
+    return tuple((bytes(h.name), bytes(h.value)) for h in headers)
+
+
+def _decode_open(message) -> exchange.OpenRequest:
+    head = model.RequestHead(
+        message.method, message.path, _decode_headers(message.headers)
+    )
+    return exchange.OpenRequest(
+        head=head,
+        account=message.account,
+        service=message.service,
+        target=message.target,
+        timeout=message.timeoutMs / 1000,
+        repeatable=message.repeatable,
+        traceparent=message.traceparent,
+        attempt=message.attempt,
+        weight=message.weight,
+        fingerprint=bytes(message.fingerprint),
+        relay_to=message.relayTo,
+    )
+
+
+def _decode_reset(message) -> errors.RequestError:
+    executed = errors.Executed.NO
+    if message.executed:
+        executed = errors.Executed.UNKNOWN
+    return errors.RequestError(
+        message.message,
+        executed=executed,
+        retry_after=message.retryAfterMs / 1000 or None,
+        code=message.code,
+        status=message.status,
+    )
+
+
+def _load(message) -> exchange.Load:
+    return exchange.Load(message.slotsInUse, message.queued)
+
+
+def _convert(message) -> Frame:
+    kind = message.which()
+    body = getattr(message, str(kind))
+    match str(kind):
+        case "hello":
+            return Hello(body.instance, body.incarnation, body.version)
+        case "open":
+            return Open(message.id, _decode_open(body))
+        case "head":
+            head = model.ResponseHead(
+                body.status, _decode_headers(body.headers)
+            )
+            return Head(message.id, head, _load(body))
+        case "data":
+            return Data(message.id, bytes(body))
+        case "end":
+            return End(message.id)
+        case "reset":
+            return Reset(message.id, _decode_reset(body), _load(body))
+        case "window":
+            return Window(message.id, body)
+        case "ping":
+            return Ping(body)
+        case "pong":
+            return Pong(body)
+        case "call":
+            return Call(message.id, body.method, bytes(body.body))
+        case _:
+            return Reply(message.id, body.code, bytes(body.body))
+
+
+def decode(data: bytes) -> Frame:
+    """Returns the frame that the bytes hold.
+
+    Raises:
+        FrameError: The bytes are no valid frame.
+    """
+    try:
+        with _SCHEMA.Frame.from_bytes(data) as message:
+            return _convert(message)
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise FrameError(
+            "The peer sent bytes that are no valid frame; check that all "
+            "instances run compatible versions."
+        ) from error
--- /dev/null
+++ b/src/cicadafront/peer/exchange.py
@@ -0,0 +1,101 @@
+"""Interfaces between the entry and the agent of one request.
+
+An entry writes a request to a `RequestSink`; the agent writes the answer to a
+`ResponseSink`. A link implements both, so that the entry and the agent need
+not know whether they share a process.
+"""
+
+from typing import Protocol
+
+import attrs
+
+from cicadafront import errors, model
+
+# Bytes of body that one direction may send ahead of `consumed`.
+WINDOW_BYTES = 256 * 1024
+# Largest body piece in one frame.
+CHUNK_BYTES = 64 * 1024
+
+
+@attrs.frozen
+class Load:
+    """Load of a target as its agent sees it."""
+
+    slots_in_use: int = 0
+    queued: int = 0
+
+
+@attrs.frozen
+class OpenRequest:
+    """A request as an entry hands it to an agent.
+
+    Attributes:
+        head: Head for the target.
+        account: Client account that it runs for; empty on open routes.
+        service: Service of the route.
+        target: Id of the chosen target.
+        timeout: Seconds until the answer must be complete.
+        repeatable: Whether the request may run more than once.
+        traceparent: W3C trace context of the entry's span.
+        attempt: Number of this attempt, from 1.
+        weight: Queue weight of the account.
+        fingerprint: Digest that recognises the same request sent again.
+        relay_to: Instance to which a third instance relays the request;
+            empty when the receiver is the agent.
+    """
+
+    head: model.RequestHead
+    account: str
+    service: str
+    target: str
+    timeout: float
+    repeatable: bool = False
+    traceparent: str = ""
+    attempt: int = 1
+    weight: float = 1.0
+    fingerprint: bytes = b""
+    relay_to: str = ""
+
+
+class RequestSink(Protocol):
+    """Takes the body of a request."""
+
+    def body(self, data: bytes) -> None:
+        """Takes a piece of the request body."""
+
+    def end(self) -> None:
+        """Marks the request body as complete."""
+
+    def cancel(self) -> None:
+        """Gives the request up; nothing more is sent to the response sink."""
+
+    def consumed(self, count: int) -> None:
+        """Reports answer bytes that were passed on."""
+
+
+class ResponseSink(Protocol):
+    """Takes the answer to a request."""
+
+    def head(self, head: model.ResponseHead, load: Load) -> None:
+        """Takes the head of the answer."""
+
+    def body(self, data: bytes) -> None:
+        """Takes a piece of the answer's body."""
+
+    def end(self) -> None:
+        """Marks the answer as complete."""
+
+    def fail(self, error: errors.RequestError, load: Load) -> None:
+        """Ends the exchange with an error, before or after the head."""
+
+    def consumed(self, count: int) -> None:
+        """Reports request body bytes that were passed on."""
+
+
+class Opener(Protocol):
+    """Starts exchanges: an agent, or a link to one."""
+
+    def open(
+        self, request: OpenRequest, response: ResponseSink
+    ) -> RequestSink:
+        """Starts an exchange and returns the sink of its request body."""
--- /dev/null
+++ b/src/cicadafront/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of targets, queueing and retries."""
--- /dev/null
+++ b/src/cicadafront/store/__init__.py
@@ -0,0 +1,1 @@
+"""Access to the platform's key-value store."""
--- /dev/null
+++ b/src/cicadafront/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, spans, metrics and the operators' endpoints."""
