--- a/src/cicadafront/peer/exchange.py
+++ b/src/cicadafront/peer/exchange.py
@@ -95,7 +95,5 @@
 class Opener(Protocol):
     """Starts exchanges: an agent, or a link to one."""
 
-    def open(
-        self, request: OpenRequest, response: ResponseSink
-    ) -> RequestSink:
+    def open(self, request: OpenRequest, response: ResponseSink) -> RequestSink:
         """Starts an exchange and returns the sink of its request body."""
