Split the frame codec by kind of frame

Cause: the linter's complexity bound (10) refused two functions. Change: stream frames and link frames are converted by separate functions.

--- a/src/cicadafront/peer/codec.py
+++ b/src/cicadafront/peer/codec.py
@@ -159,13 +159,6 @@
 
 def _fields(frame: Frame) -> dict[str, object]:
     match frame:
-        case Hello(instance, incarnation, version):
-            hello = {
-                "instance": instance,
-                "incarnation": incarnation,
-                "version": version,
-            }
-            return {"hello": hello}
         case Open(id, request):
             return {"id": id, "open": _open_fields(request)}
         case Head(id, head, load):
@@ -184,6 +177,21 @@
             return {"id": id, "reset": _reset_fields(frame)}
         case Window(id, count):
             return {"id": id, "window": count}
+        case _:
+            return _link_fields(frame)
+
+
+def _link_fields(
+    frame: Hello | Ping | Pong | Call | Reply,
+) -> dict[str, object]:
+    match frame:
+        case Hello(instance, incarnation, version):
+            hello = {
+                "instance": instance,
+                "incarnation": incarnation,
+                "version": version,
+            }
+            return {"hello": hello}
         case Ping(token):
             return {"ping": token}
         case Pong(token):
@@ -240,11 +248,9 @@
 
 
 def _convert(message) -> Frame:
-    kind = message.which()
-    body = getattr(message, str(kind))
-    match str(kind):
-        case "hello":
-            return Hello(body.instance, body.incarnation, body.version)
+    kind = str(message.which())
+    body = getattr(message, kind)
+    match kind:
         case "open":
             return Open(message.id, _decode_open(body))
         case "head":
@@ -260,14 +266,22 @@
             return Reset(message.id, _decode_reset(body), _load(body))
         case "window":
             return Window(message.id, body)
+        case _:
+            return _convert_link(kind, message.id, body)
+
+
+def _convert_link(kind: str, id: int, body) -> Frame:
+    match kind:
+        case "hello":
+            return Hello(body.instance, body.incarnation, body.version)
         case "ping":
             return Ping(body)
         case "pong":
             return Pong(body)
         case "call":
-            return Call(message.id, body.method, bytes(body.body))
+            return Call(id, body.method, bytes(body.body))
         case _:
-            return Reply(message.id, body.code, bytes(body.body))
+            return Reply(id, body.code, bytes(body.body))
 
 
 def decode(data: bytes) -> Frame:
