--- /dev/null
+++ b/src/cicadafront/telemetry/metrics.py
@@ -0,0 +1,125 @@
+"""Counters, gauges and latency histograms, served in Prometheus text form."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+import prometheus_client
+from hdrh import histogram
+from prometheus_client import core, registry
+
+NAMESPACE = "cicadafront"
+# Highest latency that a histogram tells apart, in microseconds.
+MAX_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 2
+QUANTILES = (0.5, 0.9, 0.99, 0.999)
+# One histogram takes about 25 KB. Further label values share one histogram,
+# so that 880 services do not take tens of megabytes on every instance.
+MAX_HISTOGRAMS = 256
+OTHER = "other"
+
+Labels = tuple[tuple[str, str], ...]
+
+
+def new_histogram() -> histogram.HdrHistogram:
+    """Returns an empty histogram of microseconds."""
+    return histogram.HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+
+
+@attrs.define
+class Latency:
+    """Histogram of durations and their sum."""
+
+    values: histogram.HdrHistogram = attrs.field(factory=new_histogram)
+    seconds: float = 0.0
+
+    def record(self, seconds: float) -> None:
+        """Adds one duration."""
+        micros = min(max(1, int(seconds * 1e6)), MAX_MICROSECONDS)
+        self.values.record_value(micros)
+        self.seconds += seconds
+
+    def quantile(self, share: float) -> float:
+        """Returns a quantile in seconds."""
+        return self.values.get_value_at_percentile(share * 100) / 1e6
+
+
+def _labels(labels: dict[str, str]) -> Labels:
+    return tuple(sorted(labels.items()))
+
+
+@attrs.define
+class Metrics(registry.Collector):
+    """All metrics of one instance.
+
+    Attributes:
+        counters: Totals by name and labels.
+        gauges: Functions that return the current values, by name.
+        latencies: Histograms by name and labels.
+    """
+
+    counters: dict[str, dict[Labels, float]] = attrs.field(factory=dict)
+    gauges: dict[str, Callable[[], dict[Labels, float]]] = attrs.field(
+        factory=dict
+    )
+    latencies: dict[str, dict[Labels, Latency]] = attrs.field(factory=dict)
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter."""
+        values = self.counters.setdefault(name, {})
+        key = _labels(labels)
+        values[key] = values.get(key, 0) + amount
+
+    def gauge(self, name: str, read: Callable[[], float]) -> None:
+        """Registers a gauge that is read when the metrics are served."""
+        self.gauges[name] = lambda: {(): read()}
+
+    def observe(self, name: str, seconds: float, **labels: str) -> None:
+        """Records a duration in seconds."""
+        values = self.latencies.setdefault(name, {})
+        key = _labels(labels)
+        latency = values.get(key)
+        if latency is None:
+            if len(values) >= MAX_HISTOGRAMS:
+                key = tuple((label, OTHER) for label, _ in key)
+            latency = values.setdefault(key, Latency())
+        latency.record(seconds)
+
+    def collect(self) -> Iterable[core.Metric]:
+        """Yields the metrics for the Prometheus client library."""
+        for name, values in sorted(self.counters.items()):
+            yield self._family(name, "counter", values, "_total")
+        for name, read in sorted(self.gauges.items()):
+            yield self._family(name, "gauge", read(), "")
+        for name, latencies in sorted(self.latencies.items()):
+            yield self._summary(name, latencies)
+
+    def text(self) -> bytes:
+        """Returns all metrics in Prometheus text form."""
+        return prometheus_client.generate_latest(self)
+
+    def _family(
+        self, name: str, kind: str, values: dict[Labels, float], suffix: str
+    ) -> core.Metric:
+        full = f"{NAMESPACE}_{name}"
+        family = core.Metric(full, name.replace("_", " "), kind)
+        for labels, value in values.items():
+            family.add_sample(full + suffix, dict(labels), value)
+        return family
+
+    def _summary(
+        self, name: str, latencies: dict[Labels, Latency]
+    ) -> core.Metric:
+        full = f"{NAMESPACE}_{name}_seconds"
+        family = core.Metric(full, name.replace("_", " "), "summary")
+        for labels, latency in latencies.items():
+            given = dict(labels)
+            for share in QUANTILES:
+                family.add_sample(
+                    full,
+                    {**given, "quantile": str(share)},
+                    latency.quantile(share),
+                )
+            count = latency.values.get_total_count()
+            family.add_sample(full + "_count", given, count)
+            family.add_sample(full + "_sum", given, latency.seconds)
+        return family
--- /dev/null
+++ b/tests/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, spans, metrics and operators endpoints."""
--- /dev/null
+++ b/tests/telemetry/test_telemetry.py
@@ -0,0 +1,101 @@
+"""Tests of spans, metrics and log lines."""
+
+import io
+import json
+import random
+import unittest
+
+import eliot
+from parameterized import parameterized
+
+from cicadafront.telemetry import logs, metrics, tracing
+
+TRACE = "0af7651916cd43dd8448eb211c80319c"
+SPAN = "b7ad6b7169203331"
+
+
+class TraceparentTest(unittest.TestCase):
+    """Guards against broken trace context from callers."""
+
+    @parameterized.expand(
+        [
+            ("valid", f"00-{TRACE}-{SPAN}-01", True),
+            ("other version", f"01-{TRACE}-{SPAN}-00", True),
+            ("version ff", f"ff-{TRACE}-{SPAN}-01", False),
+            ("zero trace", f"00-{'0' * 32}-{SPAN}-01", False),
+            ("zero span", f"00-{TRACE}-{'0' * 16}-01", False),
+            ("upper case", f"00-{TRACE.upper()}-{SPAN}-01", False),
+            ("short", f"00-{TRACE}-{SPAN}", False),
+            ("empty", "", False),
+        ]
+    )
+    def test_parse(self, _name, value, valid):
+        context = tracing.parse_traceparent(value)
+        self.assertEqual(context is not None, valid)
+
+
+class TracerTest(unittest.TestCase):
+    """Guards against spans that do not join into one trace."""
+
+    def test_child_joins_parent(self):
+        times = iter([1.0, 2.0, 5.0, 7.0])
+        tracer = tracing.Tracer(
+            "dar-a-1",
+            clock=lambda: next(times),
+            wall=iter([10.0, 11.0]).__next__,
+            id_source=random.Random(1),
+        )
+        above = tracer.start("caller")
+        below = tracer.start("peer", above.context.traceparent(), target="t1")
+        tracer.finish(below)
+        tracer.finish(above, status=200)
+        spans = tracer.trace(above.context.trace_id)
+        self.assertEqual([s.name for s in spans], ["caller", "peer"])
+        self.assertEqual(spans[1].parent, spans[0].context.span_id)
+        self.assertEqual([s.seconds for s in spans], [6.0, 3.0])
+
+
+class MetricsTest(unittest.TestCase):
+    """Guards against metrics that scrapers cannot read or that grow."""
+
+    def test_text(self):
+        values = metrics.Metrics()
+        values.count("requests", code="ok")
+        values.count("requests", 2, code="ok")
+        values.gauge("links", lambda: 4)
+        for millis in range(1, 101):
+            values.observe("request", millis / 1000, role="entry")
+        text = values.text().decode()
+        self.assertIn('cicadafront_requests_total{code="ok"} 3.0', text)
+        self.assertIn("cicadafront_links 4.0", text)
+        self.assertIn('cicadafront_request_seconds_count{role="entry"}', text)
+        p99 = values.latencies["request"][(("role", "entry"),)].quantile(0.99)
+        self.assertAlmostEqual(p99, 0.099, delta=0.002)
+
+    def test_histograms_are_bounded(self):
+        values = metrics.Metrics()
+        for index in range(metrics.MAX_HISTOGRAMS + 50):
+            values.observe("request", 0.1, service=f"s{index}")
+        latencies = values.latencies["request"]
+        self.assertEqual(len(latencies), metrics.MAX_HISTOGRAMS + 1)
+        other = latencies[(("service", metrics.OTHER),)]
+        self.assertEqual(other.values.get_total_count(), 50)
+
+
+class LogTest(unittest.TestCase):
+    """Guards against log lines without their prefix or with raw bytes."""
+
+    def test_line(self):
+        stream = io.StringIO()
+        logs.SETTINGS.level = logs.Level.INFO
+        destination = eliot.FileDestination(
+            file=stream, json_default=logs._encode
+        )
+        eliot.add_destinations(destination)
+        self.addCleanup(eliot.remove_destination, destination)
+        log = logs.Log("edge")
+        log.debug("not written")
+        log.info("Request refused.", digest=b"\x01\xff")
+        line = json.loads(stream.getvalue())
+        self.assertEqual(line["text"], "edge: Request refused.")
+        self.assertEqual(line["digest"], "01ff")
