--- /dev/null
+++ b/src/cicadafront/emulator/target_state.py
@@ -0,0 +1,93 @@
+"""State of a stand-in target, and the paths that read and change it."""
+
+import json
+import random
+
+import attrs
+
+from cicadafront.emulator import faults
+
+ADMIN_PREFIX = "/_emulator/"
+
+
+@attrs.define
+class Run:
+    """One request that the target ran."""
+
+    method: str
+    path: str
+    key: str
+    account: str
+    request_id: str
+    digest: str = ""
+    length: int = 0
+    answer_digest: str = ""
+    headers: list[str] = attrs.field(factory=list)
+
+
+@attrs.define
+class TargetState:
+    """State of a stand-in target.
+
+    Attributes:
+        id: Name of the target.
+        service: Service that it announces.
+        slots: Requests that it runs at the same time without shedding.
+        service_time: Mean service time in seconds.
+        cold_seconds: Time after the start in which it is slower.
+        plan: The active fault.
+        draws: Source of service times and of the requests a fault hits.
+        runs: Requests run so far.
+        running: Requests running now.
+        leaving: Whether it announces that it leaves.
+        last_answer: Body of the previous answer, sent by crossed answers.
+        keys_seen: Requests that carried an `Authorization` header.
+    """
+
+    id: str
+    service: str
+    slots: int = 3
+    service_time: float = 0.005
+    cold_seconds: float = 0.0
+    plan: faults.FaultPlan = attrs.field(factory=faults.FaultPlan)
+    draws: random.Random = attrs.field(factory=lambda: random.Random(1))
+    runs: list[Run] = attrs.field(factory=list)
+    running: int = 0
+    started: float = 0.0
+    leaving: bool = False
+    last_answer: bytes = b'{"target": "nobody"}'
+    keys_seen: int = 0
+
+    def delay(self, now: float, fault: faults.Fault) -> float:
+        """Returns the service time of one request in seconds."""
+        delay = self.draws.lognormvariate(0, 0.3) * self.service_time
+        if fault is faults.Fault.SLOW:
+            delay *= self.plan.slow_factor
+        if now - self.started < self.cold_seconds:
+            delay *= 3
+        return delay
+
+
+def admin(state: TargetState, path: str, body: bytes, clock) -> bytes:
+    """Serves the emulator's own paths and returns the answer's body."""
+    name = path.removeprefix(ADMIN_PREFIX)
+    match name:
+        case "fault":
+            fields = json.loads(body)
+            state.plan = faults.FaultPlan(
+                fault=faults.Fault(fields.pop("fault", "none")),
+                since=clock.seconds(),
+                **fields,
+            )
+        case "leave":
+            state.leaving = True
+        case "health":
+            return b'{"healthy": true}'
+        case "runs":
+            runs = [attrs.asdict(run) for run in state.runs]
+            return json.dumps(
+                {"runs": runs, "keys_seen": state.keys_seen}
+            ).encode()
+        case _:
+            return b'{"error": "unknown emulator path"}'
+    return b"{}"
