--- a/src/cicadafront/emulator/target.py
+++ b/src/cicadafront/emulator/target.py
@@ -124,6 +124,7 @@
             key=headers.get(b"idempotency-key", b"").decode(),
             account=headers.get(b"x-client-account", b"").decode(),
             request_id=headers.get(b"x-request-id", b"").decode(),
+            send_id=headers.get(b"x-send-id", b"").decode(),
             digest=self.digest.hexdigest(),
             length=self.length,
             headers=sorted(name.decode() for name in headers),
--- a/src/cicadafront/emulator/target_state.py
+++ b/src/cicadafront/emulator/target_state.py
@@ -12,13 +12,28 @@
 
 @attrs.define
 class Run:
-    """One request that the target ran."""
+    """One request that the target ran.
+
+    Attributes:
+        method: HTTP method.
+        path: Path and query.
+        key: Value of `Idempotency-Key`.
+        account: Client account that the agent named.
+        request_id: Id that the agent gave to the exchange.
+        send_id: Value of `X-Send-Id`, by which a test tells apart the sends
+            of one request.
+        digest: SHA-256 of the request body, in hex.
+        length: Length of the request body in bytes.
+        answer_digest: SHA-256 of the answer's body, in hex.
+        headers: Names of the request's headers.
+    """
 
     method: str
     path: str
     key: str
     account: str
     request_id: str
+    send_id: str = ""
     digest: str = ""
     length: int = 0
     answer_digest: str = ""
--- /dev/null
+++ b/tests/emulator/test_history.py
@@ -0,0 +1,63 @@
+"""Tests of the history checker: each planted violation must be found."""
+
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from cicadafront.emulator import history
+
+WHOLE = history.Call(
+    "r1", "s1", "amani", False, history.Ending.WHOLE, answer_digest="d1"
+)
+REFUSED = history.Call(
+    "r1", "s2", "amani", False, history.Ending.REFUSED, executed="no"
+)
+RUN = history.Execution("t1", "r1", "s1", "amani", "d1")
+
+
+class CheckerTest(unittest.TestCase):
+    """Guards against a checker that cannot fail."""
+
+    @parameterized.expand(
+        [
+            ("clean", [WHOLE], [RUN], []),
+            ("clean refusal", [WHOLE, REFUSED], [RUN], []),
+            ("nothing sent it", [], [RUN], ["origin"]),
+            (
+                "other account",
+                [WHOLE],
+                [attrs.evolve(RUN, account="pendo")],
+                ["account"],
+            ),
+            ("ran twice", [WHOLE], [RUN, RUN], ["once"]),
+            (
+                "repeatable ran twice",
+                [attrs.evolve(WHOLE, repeatable=True)],
+                [RUN, RUN],
+                [],
+            ),
+            (
+                "not run was false",
+                [REFUSED],
+                [attrs.evolve(RUN, send="s2")],
+                ["not run"],
+            ),
+            (
+                "unknown is allowed",
+                [attrs.evolve(REFUSED, executed="unknown")],
+                [attrs.evolve(RUN, send="s2")],
+                [],
+            ),
+            (
+                "foreign answer",
+                [attrs.evolve(WHOLE, answer_digest="d2")],
+                [RUN],
+                ["answer"],
+            ),
+            ("answer without a run", [WHOLE], [], ["answer"]),
+        ]
+    )
+    def test_check(self, _name, calls, runs, expected):
+        found = history.check(calls, runs)
+        self.assertEqual([violation.rule for violation in found], expected)
