--- /dev/null
+++ b/src/cicadafront/emulator/store.py
@@ -0,0 +1,330 @@
+"""Stand-in key-value store with switchable faults, in process and over HTTP.
+
+`python -m cicadafront.emulator.store --port N` serves it on 127.0.0.1.
+`PUT /admin/faults` with JSON such as `{"outage": true}` switches faults;
+`GET /admin/faults` and `GET /admin/counts` report them and the calls.
+"""
+
+import argparse
+import base64
+import collections
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+import klein
+from twisted.internet import defer, task
+from twisted.web import server
+
+from cicadafront import errors, ports
+from cicadafront.emulator import keyvalue
+from cicadafront.store import client
+
+T = TypeVar("T")
+
+
+@attrs.define
+class Faults:
+    """Faults of the store.
+
+    Attributes:
+        outage: Whether no call is answered or takes effect.
+        slow: Seconds by which answers are late.
+        lose_answers: Number of next writes that take effect without answer.
+        lose_requests: Number of next writes that get lost without effect.
+    """
+
+    outage: bool = False
+    slow: float = 0.0
+    lose_answers: int = 0
+    lose_requests: int = 0
+
+
+def _unavailable() -> errors.StoreUnavailableError:
+    return errors.StoreUnavailableError(
+        "the emulated store does not answer; end the fault or retry later"
+    )
+
+
+class EmulatedStore:
+    """The `Store` interface in process.
+
+    Several of these may share one `KeyValues`: each then stands for the way
+    of one instance to the store, with faults of its own.
+
+    Args:
+        clock: Twisted reactor or `task.Clock`.
+        values: The stored data; new by default.
+
+    Attributes:
+        faults: The faults in force.
+        counts: Number of calls by kind; a waiting watch counts once.
+    """
+
+    def __init__(self, clock: Any, values: keyvalue.KeyValues | None = None):
+        self._clock = clock
+        self._values = values or keyvalue.KeyValues(clock)
+        self.faults = Faults()
+        self.counts: collections.Counter[str] = collections.Counter()
+
+    def sharing(self) -> "EmulatedStore":
+        """Returns a store with the same data and faults of its own."""
+        return EmulatedStore(self._clock, self._values)
+
+    def set_outage(self, outage: bool) -> None:
+        """Starts or ends an outage; waiting watches fail at its start."""
+        self.faults.outage = outage
+        if outage:
+            self._values.break_watches()
+
+    def get(self, key: str) -> defer.Deferred[ports.Versioned | None]:
+        """Reads one key."""
+        return self._call("get", lambda: self._values.get(key))
+
+    def list(self, prefix: str) -> defer.Deferred[dict[str, ports.Versioned]]:
+        """Reads all keys with a prefix."""
+        return self._call("list", lambda: self._values.list(prefix))
+
+    def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: int | None = None,
+        lease: str = "",
+    ) -> defer.Deferred[int]:
+        """Writes a key and returns its new version."""
+        return self._write(
+            "put", lambda: self._values.put(key, value, expected, lease)
+        )
+
+    def delete(
+        self, key: str, expected: int | None = None
+    ) -> defer.Deferred[None]:
+        """Deletes a key, with `expected` only at that version."""
+        return self._write("delete", lambda: self._values.delete(key, expected))
+
+    def watch(
+        self, key: str, after: int, timeout: float
+    ) -> defer.Deferred[ports.Versioned | None]:
+        """Waits until the version exceeds `after`; None after the timeout."""
+        return self._call(
+            "watch", lambda: self._values.watch(key, after, timeout)
+        )
+
+    def grant_lease(self, ttl: float) -> defer.Deferred[str]:
+        """Creates a lease and returns its id."""
+        return self._write("grant", lambda: self._values.grant_lease(ttl))
+
+    def renew_lease(self, lease: str) -> defer.Deferred[None]:
+        """Renews a lease; fails with `StoreConflictError` once it lapsed."""
+        return self._write("renew", lambda: self._values.renew_lease(lease))
+
+    def revoke_lease(self, lease: str) -> defer.Deferred[None]:
+        """Ends a lease; keys attached to it are deleted."""
+        return self._write("revoke", lambda: self._values.revoke_lease(lease))
+
+    def _write(self, kind: str, effect: Callable[[], T]) -> defer.Deferred[T]:
+        if not self.faults.outage and self.faults.lose_requests:
+            self.faults.lose_requests -= 1
+            self.counts[kind] += 1
+            return self._late(defer.fail(_unavailable()))
+        if not self.faults.outage and self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            done = self._call(kind, effect)
+            done.addBoth(lambda _: defer.fail(_unavailable()))
+            return done
+        return self._call(kind, effect)
+
+    def _call(
+        self, kind: str, effect: Callable[[], Any]
+    ) -> defer.Deferred[Any]:
+        self.counts[kind] += 1
+        if self.faults.outage:
+            return defer.fail(_unavailable())
+        return self._late(defer.maybeDeferred(effect))
+
+    def _late(self, done: defer.Deferred[T]) -> defer.Deferred[T]:
+        slow = self.faults.slow
+        if slow <= 0:
+            return done
+        if slow > client.CALL_TIMEOUT_SECONDS:
+            done.addErrback(lambda _: None)
+            done.addBoth(lambda _: defer.fail(_unavailable()))
+            slow = client.CALL_TIMEOUT_SECONDS
+        done.addBoth(
+            lambda result: task.deferLater(self._clock, slow, lambda: result)
+        )
+        return done
+
+
+class StoreApp:
+    """Serves an emulated store over the protocol of `store.client`."""
+
+    app = klein.Klein()
+
+    def __init__(self, store: EmulatedStore):
+        self.store = store
+
+    @app.route("/v1/values", methods=["GET"])
+    async def read(self, request: Any) -> bytes:
+        """Reads, lists or watches values."""
+        key = _argument(request, "key")
+        if key is None:
+            prefix = _argument(request, "prefix") or ""
+            found = await self._answer(request, self.store.list(prefix))
+            return _json(request, {"items": _items(found or {})})
+        after = _argument(request, "after")
+        if after is None:
+            calling: defer.Deferred[Any] = self.store.get(key)
+        else:
+            wait = float(_argument(request, "wait") or 0)
+            calling = self.store.watch(key, int(after), wait)
+        value = await self._answer(request, calling)
+        if value is None:
+            request.setResponseCode(404 if after is None else 204)
+            return b""
+        request.setHeader("X-Version", str(value.version))
+        request.setHeader("X-Lease", value.lease)
+        return value.value
+
+    @app.route("/v1/values", methods=["PUT"])
+    async def write(self, request: Any) -> bytes:
+        """Writes a value."""
+        calling = self.store.put(
+            _argument(request, "key") or "",
+            request.content.read(),
+            _expected(request),
+            _argument(request, "lease") or "",
+        )
+        return _json(request, {"version": await self._answer(request, calling)})
+
+    @app.route("/v1/values", methods=["DELETE"])
+    async def remove(self, request: Any) -> bytes:
+        """Deletes a value."""
+        key = _argument(request, "key") or ""
+        calling: defer.Deferred[Any]
+        calling = self.store.delete(key, _expected(request))
+        await self._answer(request, calling)
+        return _json(request, {"version": 0})
+
+    @app.route("/v1/leases", methods=["POST", "PUT", "DELETE"])
+    async def lease(self, request: Any) -> bytes:
+        """Grants, renews or revokes a lease."""
+        lease = _argument(request, "lease") or ""
+        calling: defer.Deferred[Any]
+        match request.method:
+            case b"POST":
+                ttl = float(_argument(request, "ttl") or 0)
+                calling = self.store.grant_lease(ttl)
+            case b"PUT":
+                calling = self.store.renew_lease(lease)
+            case _:
+                calling = self.store.revoke_lease(lease)
+        granted = await self._answer(request, calling)
+        return _json(request, {"lease": granted or lease})
+
+    @app.route("/admin/faults", methods=["GET", "PUT"])
+    def admin_faults(self, request: Any) -> bytes:
+        """Reports faults and, with PUT, changes those that are named."""
+        if request.method == b"PUT":
+            wanted = json.loads(request.content.read())
+            unknown = wanted.keys() - attrs.fields_dict(Faults).keys()
+            if unknown:
+                request.setResponseCode(400)
+                return _json(request, {"unknown": sorted(unknown)})
+            for name, value in wanted.items():
+                setattr(self.store.faults, name, value)
+            self.store.set_outage(self.store.faults.outage)
+        return _json(request, attrs.asdict(self.store.faults))
+
+    @app.route("/admin/counts", methods=["GET"])
+    def admin_counts(self, request: Any) -> bytes:
+        """Reports the number of calls by kind."""
+        items = [
+            {"kind": kind, "count": count}
+            for kind, count in sorted(self.store.counts.items())
+        ]
+        return _json(request, {"items": items})
+
+    async def _answer(self, request: Any, calling: defer.Deferred[Any]) -> Any:
+        try:
+            return await calling
+        except errors.StoreUnavailableError:
+            # A lost answer shows as a broken connection, not as a status.
+            request.transport.abortConnection()
+            raise
+        except errors.StoreConflictError:
+            raise _Refusal(409) from None
+        except client.StoreRefusedError:
+            raise _Refusal(413) from None
+
+    @app.handle_errors(errors.StoreUnavailableError)  # type: ignore[arg-type]
+    def no_answer(self, request: Any, _failure: Any) -> bytes:
+        """Ends a call whose connection was broken."""
+        return b""
+
+    @app.handle_errors(Exception)
+    def refuse(self, request: Any, failure: Any) -> bytes:
+        """Answers a refused call with its status."""
+        refusal = failure.value
+        status = refusal.status if isinstance(refusal, _Refusal) else 400
+        request.setResponseCode(status)
+        return _json(request, {"status": status})
+
+
+class _Refusal(Exception):  # noqa: N818 - not a fault, carries the status
+    def __init__(self, status: int):
+        super().__init__(status)
+        self.status = status
+
+
+def _argument(request: Any, name: str) -> str | None:
+    values = request.args.get(name.encode())
+    return values[0].decode() if values else None
+
+
+def _expected(request: Any) -> int | None:
+    value = _argument(request, "expected")
+    return None if value is None else int(value)
+
+
+def _items(found: dict[str, ports.Versioned]) -> list[dict[str, Any]]:
+    return [
+        {
+            "key": key,
+            "value": base64.b64encode(value.value).decode(),
+            "version": value.version,
+            "lease": value.lease,
+        }
+        for key, value in found.items()
+    ]
+
+
+def _json(request: Any, data: Any) -> bytes:
+    request.setHeader("Content-Type", "application/json")
+    return json.dumps(data).encode()
+
+
+def site(store: EmulatedStore) -> server.Site:
+    """Returns the HTTP site of a store."""
+    return server.Site(StoreApp(store).app.resource())
+
+
+def main() -> None:
+    """Serves a new, empty store until the process is stopped."""
+    from twisted.internet import reactor
+
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--host", default="127.0.0.1")
+    options = parser.parse_args()
+    running: Any = reactor
+    running.listenTCP(
+        options.port, site(EmulatedStore(running)), interface=options.host
+    )
+    running.run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the access to the key-value store."""
