--- /dev/null
+++ b/src/cicadafront/config/current.py
@@ -0,0 +1,53 @@
+"""The configuration in force at an instance."""
+
+from collections.abc import Callable
+
+from cicadafront.config import model, parts
+
+
+class CurrentConfiguration:
+    """Holds the newest configuration; its revision never goes back.
+
+    Attributes:
+        configuration: The configuration in force; revision 0 before the
+            first one.
+        manifest: Its manifest, or None before the first one.
+    """
+
+    def __init__(self) -> None:
+        self.configuration = model.Configuration()
+        self.manifest: parts.Manifest | None = None
+        self._handlers: list[Callable[[model.Configuration], None]] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 before the first one."""
+        return self.configuration.revision
+
+    @property
+    def digest(self) -> str:
+        """Digest of the manifest in force, empty before the first one."""
+        return self.manifest.digest if self.manifest else ""
+
+    def on_change(self, handler: Callable[[model.Configuration], None]) -> None:
+        """Calls the handler with each new configuration."""
+        self._handlers.append(handler)
+
+    def newer(self, revision: int) -> bool:
+        """Tells whether a revision would replace the one in force."""
+        return revision > self.revision
+
+    def offer(self, manifest: parts.Manifest, cache: parts.PartCache) -> bool:
+        """Puts a revision in force if it is newer; returns whether it was.
+
+        Raises:
+            PartDamagedError: A part is missing; nothing changes.
+        """
+        if not self.newer(manifest.revision):
+            return False
+        configuration = cache.build(manifest)
+        self.manifest = manifest
+        self.configuration = configuration
+        for handler in list(self._handlers):
+            handler(configuration)
+        return True
--- /dev/null
+++ b/src/cicadafront/config/folder.py
@@ -0,0 +1,299 @@
+"""Reads the operators' folder and merges its files in file-name order."""
+
+import os
+import pathlib
+import tomllib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from cicadafront import errors
+from cicadafront.config import model, schema
+
+# Key ids have no underscore: it divides the parts of a token.
+_NAME = r"[A-Za-z0-9][A-Za-z0-9.-]{0,63}"
+_name = schema.text(_NAME, "a name of 1 to 64 letters, digits, '.' or '-'")
+_prefix = schema.text(
+    r"/|(/(?!\.{1,2}(/|$))[!-\"$-.0->@-~]+){1,64}/?",
+    "a path such as /rounds without query, spaces, empty or dot segments",
+)
+_method = schema.text(r"[A-Z]{1,20}", "a method such as GET in capitals")
+_digest = schema.text(r"[0-9a-f]{64}", "64 lower-case hexadecimal digits")
+
+SECTIONS: dict[str, schema.Fields] = {
+    "accounts": {
+        "rate": schema.Field(
+            schema.number(0.001, 1e6, " (requests/s)"), required=True
+        ),
+        "burst": schema.Field(
+            schema.number(1, 1e7, " (requests)"), required=True
+        ),
+        "weight": schema.Field(schema.number(0.01, 100), 1.0),
+    },
+    "keys": {
+        "account": schema.Field(_name, required=True),
+        "digest": schema.Field(_digest, required=True),
+    },
+    "services": {"floor": schema.Field(schema.number(0, 1), 0.5)},
+    "routes": {
+        "prefix": schema.Field(_prefix, required=True),
+        "service": schema.Field(_name, required=True),
+        "methods": schema.Field(schema.list_of(_method, 16), []),
+        "open": schema.Field(schema.boolean, False),
+        "repeatable": schema.Field(schema.boolean, False),
+        "timeout": schema.Field(schema.number(0.1, 3600, " (seconds)"), 30.0),
+    },
+}
+# The section that a key of another section names an entry of.
+REFERENCES = (
+    ("keys", "account", "accounts"),
+    ("routes", "service", "services"),
+)
+DEFAULT_ORIGIN = "(default)"
+
+Entries = dict[str, dict[str, dict[str, Any]]]
+
+
+@attrs.frozen
+class Merged:
+    """The merged files.
+
+    Attributes:
+        values: Every value by section, entry and key, defaults included.
+        origins: File of each value, `(default)` for those in no file.
+    """
+
+    values: Entries
+    origins: dict[tuple[str, str, str], str]
+
+    def configuration(self) -> model.Configuration:
+        """Returns the values as a configuration without revision."""
+        values = self.values
+        return model.Configuration(
+            accounts={
+                id: model.ClientAccount(id, **entry)
+                for id, entry in values["accounts"].items()
+            },
+            keys={
+                id: model.Key(
+                    id, entry["account"], bytes.fromhex(entry["digest"])
+                )
+                for id, entry in values["keys"].items()
+            },
+            services={
+                name: model.Service(name, **entry)
+                for name, entry in values["services"].items()
+            },
+            routes={
+                id: model.Route(
+                    id, **entry | {"methods": frozenset(entry["methods"])}
+                )
+                for id, entry in values["routes"].items()
+            },
+        )
+
+
+def read_folder(folder: str | os.PathLike[str]) -> dict[str, bytes]:
+    """Returns the contents of the folder's `*.toml` files by name.
+
+    Raises:
+        InvalidConfigurationError: The folder or a file cannot be read, or
+            there is no file.
+    """
+    path = pathlib.Path(folder)
+    files = {}
+    found = []
+    try:
+        names = sorted(os.listdir(path))
+    except OSError as error:
+        raise schema.InvalidConfigurationError(
+            [_unreadable(str(folder), error, "name an existing folder")]
+        ) from error
+    for name in names:
+        if not name.endswith(".toml") or name.startswith("."):
+            continue
+        # Names that are not UTF-8 could not be printed in messages.
+        shown = name.encode(errors="backslashreplace").decode()
+        try:
+            files[shown] = (path / name).read_bytes()
+        except OSError as error:
+            found.append(_unreadable(shown, error, "make the file readable"))
+    if not files and not found:
+        found.append(
+            errors.ConfigError(
+                str(folder), "*.toml", "no such file; add one to the folder"
+            )
+        )
+    if found:
+        raise schema.InvalidConfigurationError(found)
+    return files
+
+
+def _unreadable(file: str, error: OSError, remedy: str) -> errors.ConfigError:
+    return errors.ConfigError(file, "(file)", f"{error.strerror}; {remedy}")
+
+
+def parse(file: str, content: bytes) -> dict[str, Any]:
+    """Parses one TOML file.
+
+    Raises:
+        ConfigError: The content is not UTF-8 or not TOML.
+    """
+    try:
+        return tomllib.loads(content.decode())
+    except UnicodeDecodeError as error:
+        raise errors.ConfigError(
+            file, "(file)", f"{error.reason}; save the file as UTF-8"
+        ) from None
+    # Besides its own error, tomllib raises these for huge numbers, invalid
+    # dates and deep nesting.
+    except (ValueError, OverflowError, RecursionError) as error:
+        raise errors.ConfigError(
+            file, "(file)", f"is not valid TOML: {error}; correct the syntax"
+        ) from None
+
+
+def merge(files: Mapping[str, bytes]) -> Merged:
+    """Merges files in the order of their names.
+
+    Raises:
+        InvalidConfigurationError: With all errors of all files.
+    """
+    merging = _Merging()
+    for file in sorted(files):
+        try:
+            merging.add(file, parse(file, files[file]))
+        except errors.ConfigError as error:
+            merging.errors.append(error)
+    merging.finish()
+    if merging.errors:
+        raise schema.InvalidConfigurationError(merging.errors)
+    return Merged(merging.values, merging.origins)
+
+
+def load(folder: str | os.PathLike[str]) -> Merged:
+    """Reads and merges a folder."""
+    return merge(read_folder(folder))
+
+
+class _Merging:
+    """A merge in progress."""
+
+    def __init__(self) -> None:
+        self.values: Entries = {section: {} for section in SECTIONS}
+        self.origins: dict[tuple[str, str, str], str] = {}
+        self.errors: list[errors.ConfigError] = []
+        self._refused: set[tuple[str, str, str]] = set()
+        self._files: dict[tuple[str, str], str] = {}
+
+    def add(self, file: str, document: dict[str, Any]) -> None:
+        """Adds one file on top of those before."""
+        for section, entries in document.items():
+            if section not in SECTIONS:
+                self.errors.append(
+                    schema.unknown(file, section, section, SECTIONS)
+                )
+            elif not isinstance(entries, dict):
+                remedy = f"write tables such as [{section}.NAME]"
+                self.errors.append(errors.ConfigError(file, section, remedy))
+            else:
+                for id, entry in entries.items():
+                    self._add_entry(file, section, id, entry)
+
+    def _add_entry(self, file: str, section: str, id: str, entry: Any) -> None:
+        path = f"{section}.{id}"
+        try:
+            (_key_id if section == "keys" else _name)(id)
+        except ValueError as error:
+            self.errors.append(
+                errors.ConfigError(file, path, f"the name {error}")
+            )
+            return
+        accepted, found = schema.check_table(
+            file, path, entry, SECTIONS[section]
+        )
+        self.errors += found
+        if not isinstance(entry, dict):
+            return
+        self._files[section, id] = file
+        self.values[section].setdefault(id, {}).update(accepted)
+        for key in accepted:
+            self.origins[section, id, key] = file
+        self._refused |= {
+            (section, id, key) for key in entry.keys() - accepted.keys()
+        }
+
+    def finish(self) -> None:
+        """Completes entries with defaults and checks references."""
+        for section, fields in SECTIONS.items():
+            for id, entry in self.values[section].items():
+                self._complete(section, id, entry, fields)
+        for section, key, target in REFERENCES:
+            for id, entry in self.values[section].items():
+                name = entry.get(key)
+                if name is not None and name not in self.values[target]:
+                    self._refuse(
+                        section,
+                        id,
+                        key,
+                        f"{target}.{name} does not exist; add"
+                        f" [{target}.{name}] or correct the name",
+                    )
+        self._check_routes()
+
+    def _complete(
+        self,
+        section: str,
+        id: str,
+        entry: dict[str, Any],
+        fields: schema.Fields,
+    ) -> None:
+        for key, field in fields.items():
+            if key in entry or (section, id, key) in self._refused:
+                continue
+            if field.required:
+                self._refuse(section, id, key, "is missing; add it")
+            else:
+                entry[key] = field.default
+                self.origins[section, id, key] = DEFAULT_ORIGIN
+
+    def _check_routes(self) -> None:
+        """Refuses routes between which the choice would be arbitrary."""
+        seen: dict[tuple[str, str], str] = {}
+        for id, route in sorted(self.values["routes"].items()):
+            if "prefix" not in route or "methods" not in route:
+                continue
+            for method in route["methods"] or [""]:
+                place = route["prefix"].rstrip("/"), method
+                other = seen.setdefault(place, id)
+                if other != id:
+                    self._refuse(
+                        "routes",
+                        id,
+                        "prefix",
+                        f"routes.{other} has the same prefix and"
+                        f" {method or 'no methods'}; change one of them",
+                    )
+
+    def _refuse(self, section: str, id: str, key: str, message: str) -> None:
+        origin = self.origins.get((section, id, key), DEFAULT_ORIGIN)
+        if origin == DEFAULT_ORIGIN:
+            origin = self._files[section, id]
+        self.errors.append(
+            errors.ConfigError(origin, f"{section}.{id}.{key}", message)
+        )
+
+
+_key_id = schema.text(
+    r"[A-Za-z0-9][A-Za-z0-9-]{0,63}",
+    "a key id of 1 to 64 letters, digits or '-'",
+)
+
+
+def entries(values: Entries) -> Iterable[tuple[str, str, str, Any]]:
+    """Yields section, entry, key and value in a fixed order."""
+    for section in SECTIONS:
+        for id in sorted(values[section]):
+            for key in SECTIONS[section]:
+                yield section, id, key, values[section][id][key]
--- a/src/cicadafront/config/model.py
+++ b/src/cicadafront/config/model.py
@@ -102,6 +102,10 @@
         index: dict[str, list[Route]] = {}
         for route in self.routes.values():
             index.setdefault(route.prefix.rstrip("/"), []).append(route)
+        for routes in index.values():
+            # Routes that name the method go before those that take all, so
+            # that the choice does not depend on the order of the entries.
+            routes.sort(key=lambda route: (not route.methods, route.id))
         return index
 
     def route_for(self, method: str, path: str) -> Route | None:
--- /dev/null
+++ b/src/cicadafront/config/schema.py
@@ -0,0 +1,194 @@
+"""Checks of values that come from TOML files."""
+
+import difflib
+import re
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from cicadafront import errors
+
+
+class InvalidConfigurationError(errors.CicadafrontError):
+    """Files that are refused, with every error found in them.
+
+    Attributes:
+        errors: The errors, each with file, key and remedy.
+    """
+
+    code = "config_invalid"
+
+    def __init__(self, found: Iterable[errors.ConfigError]):
+        self.errors = tuple(found)
+        super().__init__("\n".join(error.message for error in self.errors))
+
+
+# Returns the accepted value, or raises ValueError with the remedy.
+Check = Callable[[Any], Any]
+
+
+@attrs.frozen
+class Field:
+    """One key of a table.
+
+    Attributes:
+        check: Returns the accepted value, or raises ValueError.
+        default: Value when the key is absent.
+        required: Whether the key must be present.
+    """
+
+    check: Check
+    default: Any = None
+    required: bool = False
+
+
+Fields = Mapping[str, Field]
+
+
+def number(low: float, high: float, unit: str = "") -> Check:
+    """Accepts integers and floats in a closed range, as floats."""
+
+    def check(value: Any) -> float:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise ValueError(f"is {_kind(value)}; write a number{unit}")
+        # The comparison also refuses `nan`, which no range contains.
+        if not low <= value <= high:
+            raise ValueError(
+                f"is {_short(value)}; write a number from {low:g} to"
+                f" {high:g}{unit}"
+            )
+        return float(value)
+
+    return check
+
+
+def integer(low: int, high: int) -> Check:
+    """Accepts integers in a closed range."""
+
+    def check(value: Any) -> int:
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise ValueError(f"is {_kind(value)}; write a whole number")
+        if not low <= value <= high:
+            raise ValueError(
+                f"is {_short(value)}; write a whole number from {low} to {high}"
+            )
+        return value
+
+    return check
+
+
+def boolean(value: Any) -> bool:
+    """Accepts true and false."""
+    if not isinstance(value, bool):
+        raise ValueError(f"is {_kind(value)}; write true or false")
+    return value
+
+
+def text(pattern: str, meaning: str) -> Check:
+    """Accepts strings that match a pattern as a whole."""
+    compiled = re.compile(pattern)
+
+    def check(value: Any) -> str:
+        if not isinstance(value, str):
+            raise ValueError(f"is {_kind(value)}; write {meaning}")
+        if not compiled.fullmatch(value):
+            raise ValueError(f"is {_short(value)}; write {meaning}")
+        return value
+
+    return check
+
+
+def one_of(*choices: str) -> Check:
+    """Accepts one of some strings."""
+
+    def check(value: Any) -> str:
+        if value not in choices:
+            raise ValueError(
+                f"is {_short(value)}; write one of {', '.join(choices)}"
+            )
+        return str(value)
+
+    return check
+
+
+def list_of(item: Check, most: int) -> Check:
+    """Accepts lists without repetitions, as sorted lists."""
+
+    def check(value: Any) -> list[Any]:
+        if not isinstance(value, list):
+            raise ValueError(f"is {_kind(value)}; write a list")
+        if len(value) > most:
+            raise ValueError(f"has {len(value)} items; write at most {most}")
+        accepted = []
+        for position, element in enumerate(value):
+            try:
+                accepted.append(item(element))
+            except ValueError as error:
+                raise ValueError(f"item {position + 1} {error}") from None
+        return sorted(set(accepted))
+
+    return check
+
+
+def check_table(
+    file: str, path: str, table: Any, fields: Fields
+) -> tuple[dict[str, Any], list[errors.ConfigError]]:
+    """Checks the present keys of a table.
+
+    Args:
+        file: Name of the file, for errors.
+        path: Dotted path of the table in the file; empty at the top.
+        table: The parsed value.
+        fields: The keys that the table may have.
+
+    Returns:
+        The accepted values of the keys that are present, and the errors.
+    """
+    if not isinstance(table, dict):
+        remedy = f"is {_kind(table)}; write a table [{path}]"
+        return {}, [errors.ConfigError(file, path, remedy)]
+    accepted = {}
+    found = []
+    for key, value in table.items():
+        full = f"{path}.{key}" if path else key
+        if key not in fields:
+            found.append(unknown(file, full, key, fields))
+            continue
+        try:
+            accepted[key] = fields[key].check(value)
+        except ValueError as error:
+            found.append(errors.ConfigError(file, full, str(error)))
+    return accepted, found
+
+
+def unknown(
+    file: str, path: str, key: str, known: Iterable[str]
+) -> errors.ConfigError:
+    """Returns the error for a key that the schema does not have."""
+    names = sorted(known)
+    close = difflib.get_close_matches(key[:100], names, 1)
+    remedy = f"did you mean {close[0]}?" if close else "remove it"
+    return errors.ConfigError(
+        file, path, f"is not known; {remedy} (known: {', '.join(names)})"
+    )
+
+
+def _kind(value: Any) -> str:
+    kinds = {
+        bool: "a boolean",
+        int: "a whole number",
+        float: "a number",
+        str: "a string",
+        list: "a list",
+        dict: "a table",
+    }
+    return kinds.get(type(value), "a date or time")
+
+
+def _short(value: Any) -> str:
+    try:
+        shown = repr(value)
+    except ValueError:  # integers of more than 4,300 digits
+        shown = "a very large number"
+    return shown if len(shown) <= 60 else shown[:57] + "..."
