Exchange configurations with the store and between instances

Cause: every instance must run an accepted revision within 5 s, and refuse keys that it cannot confirm, while only a few instances may load the store. Change: config/sync.py watches the store on 3 instances per data centre, announces new revisions, fetches manifests (as differences) and parts from peers and serves them; trust.py holds the pure rules for watchers, evidence and the majority during an outage; peers.py chooses peers; exchange.py is the message format. Evidence is the age of the last store answer, passed down a tree of width 16 once a second, because a comparison with one random peer every 5 s cannot keep evidence below 4 s.

--- /dev/null
+++ b/src/cicadafront/config/exchange.py
@@ -0,0 +1,172 @@
+"""Messages about the configuration between instances.
+
+A query names the revision that the asker holds. The reply carries the
+answerer's revision, the age of its evidence (see `trust`) and, if its
+revision is newer, the manifest: whole, or as the difference to the asker's.
+"""
+
+import math
+import struct
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from cicadafront import errors
+from cicadafront.config import parts
+
+_PREFIX_BYTES = 8
+_QUERY = struct.Struct("!Q8s")
+_REPLY = struct.Struct("!BQ8sf")
+_ANNOUNCEMENT = struct.Struct("!Q8s")
+_FULL, _DELTA, _TRUSTED = 1, 2, 4
+
+
+class MessageError(errors.CicadafrontError):
+    """A message about the configuration cannot be read."""
+
+    code = "message_invalid"
+
+
+@attrs.frozen
+class Query:
+    """What the asker holds; `prefix` is the start of its digest."""
+
+    revision: int
+    prefix: bytes
+
+
+@attrs.frozen
+class Reply:
+    """Answer to a query.
+
+    Attributes:
+        revision: The answerer's revision.
+        prefix: Start of the digest of its manifest.
+        age: Age of its evidence in seconds, infinite if it has none.
+        trusted: Whether it honours keys.
+        manifest: Its manifest, if it is newer than the asker's.
+    """
+
+    revision: int
+    prefix: bytes
+    age: float
+    trusted: bool
+    manifest: parts.Manifest | None
+
+
+def prefix(digest: str) -> bytes:
+    """Returns the start of a digest, as messages carry it."""
+    return bytes.fromhex(digest)[:_PREFIX_BYTES].ljust(_PREFIX_BYTES, b"\0")
+
+
+def encode_query(revision: int, digest: str) -> bytes:
+    """Returns the query of an instance that holds a revision."""
+    return _QUERY.pack(revision, prefix(digest))
+
+
+def decode_query(body: bytes) -> Query:
+    """Reads a query."""
+    try:
+        return Query(*_QUERY.unpack(body))
+    except struct.error as error:
+        raise _unreadable("query", error) from error
+
+
+def encode_announcement(revision: int, digest: str, instance: str) -> bytes:
+    """Returns the announcement of a revision that an instance holds."""
+    return _ANNOUNCEMENT.pack(revision, prefix(digest)) + instance.encode()
+
+
+def decode_announcement(payload: bytes) -> tuple[int, str]:
+    """Returns revision and instance of an announcement."""
+    try:
+        revision, _ = _ANNOUNCEMENT.unpack_from(payload)
+        return revision, payload[_ANNOUNCEMENT.size :].decode()
+    except (struct.error, UnicodeDecodeError) as error:
+        raise _unreadable("announcement", error) from error
+
+
+def encode_reply(
+    query: Query,
+    manifest: parts.Manifest | None,
+    age: float,
+    trusted: bool,
+    held: Mapping[bytes, parts.Manifest],
+) -> bytes:
+    """Returns the reply to a query.
+
+    Args:
+        query: The query.
+        manifest: The answerer's manifest.
+        age: Age of its evidence in seconds.
+        trusted: Whether it honours keys.
+        held: Manifests by start of their digest, for differences.
+    """
+    flags = _TRUSTED if trusted else 0
+    revision = manifest.revision if manifest else 0
+    start = prefix(manifest.digest if manifest else "")
+    payload = b""
+    if manifest and revision > query.revision:
+        base = held.get(query.prefix)
+        flags |= _DELTA if base else _FULL
+        payload = _difference(base, manifest) if base else manifest.pack()
+    return _REPLY.pack(flags, revision, start, age) + payload
+
+
+def _difference(base: parts.Manifest, manifest: parts.Manifest) -> bytes:
+    data = manifest.data()
+    wanted = data.pop("parts")
+    changed = {k: v for k, v in wanted.items() if base.parts.get(k) != v}
+    dropped = sorted(base.parts.keys() - wanted.keys())
+    return parts.pack({"head": data, "set": changed, "drop": dropped})[1]
+
+
+def decode_reply(body: bytes, base: parts.Manifest | None) -> Reply:
+    """Reads a reply.
+
+    Args:
+        body: The reply.
+        base: The manifest that the query named.
+
+    Raises:
+        MessageError: The reply cannot be read.
+        PartDamagedError: Its manifest does not have the digest.
+    """
+    try:
+        flags, revision, start, age = _REPLY.unpack_from(body)
+    except struct.error as error:
+        raise _unreadable("reply", error) from error
+    if math.isnan(age) or age < 0:
+        raise _unreadable("reply", ValueError("age is not valid"))
+    payload = body[_REPLY.size :]
+    manifest = None
+    if flags & _FULL:
+        manifest = parts.unpack_manifest(payload)
+    elif flags & _DELTA:
+        manifest = _combined(base, parts.unpack(payload)[0])
+    if manifest and (
+        prefix(manifest.digest) != start or manifest.revision != revision
+    ):
+        raise parts.PartDamagedError(
+            f"the manifest of revision {revision} does not have its digest;"
+            " it is fetched from another peer"
+        )
+    return Reply(revision, start, age, bool(flags & _TRUSTED), manifest)
+
+
+def _combined(base: parts.Manifest | None, delta: Any) -> parts.Manifest:
+    try:
+        held = dict(base.parts) if base else {}
+        for name in delta["drop"]:
+            held.pop(name, None)
+        data = delta["head"] | {"parts": held | delta["set"]}
+    except (KeyError, TypeError) as error:
+        raise _unreadable("reply", error) from error
+    return parts.manifest_from(data, parts.pack(data)[0])
+
+
+def _unreadable(kind: str, error: Exception) -> MessageError:
+    return MessageError(
+        f"the {kind} cannot be read ({error}); run one release everywhere"
+    )
--- /dev/null
+++ b/src/cicadafront/config/peers.py
@@ -0,0 +1,91 @@
+"""Choice of the peers with which an instance exchanges its revision."""
+
+import random
+
+from cicadafront import ports
+from cicadafront.config import trust
+
+
+class Peers:
+    """Chooses among the live instances of a directory.
+
+    Args:
+        directory: Known instances.
+        instance: Id of this instance, which is never chosen.
+        data_centre: Its data centre.
+        rng: Source of choices.
+    """
+
+    def __init__(
+        self,
+        directory: ports.Directory,
+        instance: str,
+        data_centre: str,
+        rng: random.Random,
+    ):
+        self._directory = directory
+        self._id = instance
+        self._data_centre = data_centre
+        self._random = rng
+        self._ranked: list[str] | None = None
+        directory.on_change(self._forget_ranking)
+
+    def known(self) -> list[ports.InstanceInfo]:
+        """Returns all known instances, dead ones included."""
+        return list(self._directory.instances())
+
+    def watching(self) -> bool:
+        """Tells whether this instance watches the store."""
+        return self._id in trust.watchers(self._ranking())
+
+    def source(self) -> str | None:
+        """Returns whom this instance asks for evidence; None for watchers."""
+        return trust.source(self._ranking(), self._id)
+
+    def any(self, count: int) -> list[str]:
+        """Returns some random instances."""
+        ids = [info.id for info in self._others()]
+        return self._random.sample(ids, min(count, len(ids)))
+
+    def near(self, count: int) -> list[str]:
+        """Returns random instances, the last one of another data centre.
+
+        The far one lets a data centre that is cut off from the store hear of
+        others. Either kind fills up for the other.
+        """
+        own: list[str] = []
+        far: list[str] = []
+        for info in self._others():
+            near = info.data_centre == self._data_centre
+            (own if near else far).append(info.id)
+        wanted = max(count - 1, count - len(far))
+        chosen = self._random.sample(own, min(len(own), wanted))
+        rest = min(len(far), count - len(chosen))
+        return chosen + self._random.sample(far, rest)
+
+    def far_watcher(self) -> list[str]:
+        """Returns a watcher of another data centre, or an empty list."""
+        others = self._others()
+        centres = {info.data_centre for info in others} - {self._data_centre}
+        if not centres:
+            return []
+        centre = self._random.choice(sorted(centres))
+        found = trust.watchers(trust.ranking(others, centre))
+        return [self._random.choice(found)] if found else []
+
+    def _others(self) -> list[ports.InstanceInfo]:
+        return [
+            info
+            for info in self._directory.instances()
+            if info.alive and info.id != self._id
+        ]
+
+    def _ranking(self) -> list[str]:
+        if self._ranked is None:
+            self._ranked = trust.ranking(
+                self._directory.instances(), self._data_centre
+            )
+        return self._ranked
+
+    def _forget_ranking(self) -> None:
+        self._ranked = None
--- /dev/null
+++ b/src/cicadafront/config/sync.py
@@ -0,0 +1,364 @@
+"""Keeps an instance's configuration in step with the store and its peers."""
+
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+import eliot
+from twisted.internet import defer, task
+
+from cicadafront import errors, ports
+from cicadafront.config import apply, current, exchange, parts, trust
+from cicadafront.config import peers as config_peers
+
+MANIFEST_METHOD = "config.manifest"
+PART_METHOD = "config.part"
+TOPIC = "config"
+
+TICK_SECONDS = 0.25
+# Evidence from a watch dates from the moment the watch was sent, so that the
+# wait adds to its age: 18 watchers make 36 calls a second.
+WATCH_SECONDS = 0.5
+CONFIRM_SECONDS = 1.0
+OBSERVE_SECONDS = 0.5
+COMPARE_SECONDS = 5.0
+# From this age on, an instance asks further peers for evidence.
+WORRY_SECONDS = 2.5
+WORRY_PEERS = 2
+CALL_TIMEOUT_SECONDS = 0.5
+PART_TIMEOUT_SECONDS = 2.0
+PARTS_AT_ONCE = 8
+# Instances fetch a new revision within this time after its announcement;
+# spread, so that most find a peer that has it and spare the announcer.
+FETCH_SPREAD_SECONDS = 1.0
+ANNOUNCE_SPREAD_SECONDS = 0.2
+START_PEERS = 3
+RETRY_SECONDS = 1.0
+KEPT_MANIFESTS = 8
+
+
+@attrs.define
+class _Due:
+    """Times of the next periodic steps, and which of them run."""
+
+    observe: float = 0.0
+    confirm: float = 0.0
+    compare: float = 0.0
+    watch: float = 0.0
+    start: float = 0.0
+    running: set[str] = attrs.field(factory=set)
+
+
+class ConfigSync:
+    """Watches the store, exchanges revisions with peers, tracks evidence.
+
+    Args:
+        instance: Id of this instance.
+        data_centre: Its data centre.
+        clock: Twisted reactor or `task.Clock`.
+        rng: Source of jitter and choices.
+        store: The store, with calls spaced out during outages.
+        directory: Known instances.
+        broadcaster: Urgent messages.
+        calls: Calls to peers.
+        held: Receives the newest configuration.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        data_centre: str,
+        *,
+        clock: Any,
+        rng: random.Random,
+        store: ports.Store,
+        directory: ports.Directory,
+        broadcaster: ports.Broadcaster,
+        calls: ports.PeerCalls,
+        held: current.CurrentConfiguration,
+    ):
+        self._id = instance
+        self._clock = clock
+        self._random = rng
+        self._store = store
+        self._peers = config_peers.Peers(directory, instance, data_centre, rng)
+        self._broadcaster = broadcaster
+        self._calls = calls
+        self._held = held
+        self._cache = parts.PartCache()
+        self._manifests: list[parts.Manifest] = []
+        self._trust = trust.Trust()
+        self._store_version = 0
+        self._announced = 0
+        # Revision and start of the latest fetch from a peer.
+        self._fetching = (0, 0.0)
+        self._due = _Due()
+        self._ticking = task.LoopingCall(self._tick)
+        self._ticking.clock = clock
+        broadcaster.on_broadcast(TOPIC, self._on_announcement)
+        calls.register(MANIFEST_METHOD, self._serve_manifest)
+        calls.register(PART_METHOD, self._serve_part)
+
+    def start(self) -> None:
+        """Starts to fetch and watch."""
+        self._ticking.start(TICK_SECONDS)
+
+    def stop(self) -> None:
+        """Stops; calls that are open end by themselves."""
+        if self._ticking.running:
+            self._ticking.stop()
+
+    def confirmed(self, now: float) -> bool:
+        """Tells whether keys may be honoured at this time."""
+        return self._trust.confirmed(now, self._held.revision)
+
+    def evidence_age(self, now: float) -> float:
+        """Returns the age of the evidence in seconds, for reports."""
+        return self._trust.age(now)
+
+    def _tick(self) -> None:
+        now = self._clock.seconds()
+        due = self._due
+        if now >= due.observe:
+            due.observe = now + OBSERVE_SECONDS
+            known = self._peers.known()
+            self._trust.observe(now, self._held.revision, known)
+        if not self._held.revision:
+            if now >= due.start:
+                self._run("start", self._first)
+            return
+        if self._peers.watching() and now >= due.watch:
+            self._run("watch", self._watch)
+        if now >= due.confirm:
+            due.confirm = now + self._jittered(CONFIRM_SECONDS, 0.1)
+            self._run("confirm", self._confirm)
+        if now >= due.compare:
+            due.compare = now + self._jittered(COMPARE_SECONDS, 0.2)
+            self._run("compare", self._compare)
+
+    def _jittered(self, seconds: float, part: float) -> float:
+        return seconds * self._random.uniform(1 - part, 1 + part)
+
+    def _run(self, name: str, step: Callable[[], Awaitable[None]]) -> None:
+        """Runs a step unless it runs already."""
+        if name in self._due.running:
+            return
+        self._due.running.add(name)
+
+        async def run() -> None:
+            try:
+                await step()
+            finally:
+                self._due.running.discard(name)
+
+        defer.ensureDeferred(run()).addErrback(_report)
+
+    # From the store.
+
+    async def _watch(self) -> None:
+        sent = self._clock.seconds()
+        try:
+            value = await self._store.watch(
+                apply.MANIFEST_KEY, self._store_version, WATCH_SECONDS
+            )
+            if value is not None:
+                await self._take_stored(value)
+            self._trust.confirm(sent)
+        except errors.CicadafrontError as error:
+            _log("the store gave no manifest", error)
+            wait = self._jittered(RETRY_SECONDS, 0.5)
+            self._due.watch = self._clock.seconds() + wait
+
+    async def _take_stored(self, value: ports.Versioned) -> None:
+        """Puts the store's manifest in force; fails while a part lacks."""
+        manifest = parts.unpack_manifest(value.value)
+        self._trust.exists(manifest.revision)
+        if self._held.newer(manifest.revision):
+            for digest in self._cache.missing(manifest):
+                part = await self._store.get(apply.PART_PREFIX + digest)
+                if part is None:
+                    raise parts.PartDamagedError(
+                        f"part {digest} is not in the store; apply the"
+                        " folder again"
+                    )
+                self._cache.add(digest, part.value)
+            self._accept(manifest)
+            wait = self._random.uniform(0, ANNOUNCE_SPREAD_SECONDS)
+            self._clock.callLater(wait, self._announce)
+        elif manifest.revision < self._held.revision:
+            eliot.log_message(
+                message_type="config:store_older",
+                message=(
+                    f"config: the store holds revision {manifest.revision},"
+                    f" but {self._held.revision} is in force and stays"
+                ),
+            )
+        self._store_version = value.version
+
+    def _announce(self) -> None:
+        # Watchers see a change at the same moment; one announcement is enough.
+        if self._announced < self._held.revision:
+            self._announced = self._held.revision
+            self._broadcaster.broadcast(
+                TOPIC,
+                exchange.encode_announcement(
+                    self._held.revision, self._held.digest, self._id
+                ),
+            )
+
+    def _accept(self, manifest: parts.Manifest) -> None:
+        if self._held.offer(manifest, self._cache):
+            self._manifests = [*self._manifests, manifest][-KEPT_MANIFESTS:]
+            self._cache.keep(self._manifests)
+            eliot.log_message(
+                message_type="config:in_force",
+                message=f"config: revision {manifest.revision} is in force",
+            )
+
+    # From peers.
+
+    async def _first(self) -> None:
+        """Takes the newest revision of some peers, else that of the store."""
+        for peer in self._peers.near(START_PEERS):
+            await self._ask(peer)
+        if not self._held.revision:
+            sent = self._clock.seconds()
+            try:
+                value = await self._store.get(apply.MANIFEST_KEY)
+                if value is not None:
+                    await self._take_stored(value)
+                    self._trust.confirm(sent)
+            except errors.CicadafrontError as error:
+                _log("no configuration from peers or store", error)
+        wait = self._jittered(RETRY_SECONDS, 0.5)
+        self._due.start = self._clock.seconds() + wait
+
+    async def _confirm(self) -> None:
+        """Asks for evidence; further peers if it is getting old."""
+        now = self._clock.seconds()
+        source = self._peers.source()
+        if source is None and self._trust.age(now) <= CONFIRM_SECONDS:
+            return
+        answered = source is not None and await self._ask(source)
+        if answered and self._trust.age(self._clock.seconds()) < WORRY_SECONDS:
+            return
+        others = self._peers.near(WORRY_PEERS) + self._peers.far_watcher()
+        await defer.gatherResults(
+            [defer.ensureDeferred(self._ask(peer)) for peer in others]
+        )
+
+    async def _compare(self) -> None:
+        for peer in self._peers.any(1):
+            await self._ask(peer)
+
+    async def _ask(self, peer: str) -> bool:
+        """Compares revisions with a peer; returns whether it answered."""
+        base = self._held.manifest
+        query = exchange.encode_query(self._held.revision, self._held.digest)
+        sent = self._clock.seconds()
+        try:
+            body = await self._calls.call(
+                peer, MANIFEST_METHOD, query, CALL_TIMEOUT_SECONDS
+            )
+            reply = exchange.decode_reply(body, base)
+            self._trust.heard(self._clock.seconds())
+            self._trust.exists(reply.revision)
+            if reply.manifest is not None:
+                await self._fetch(peer, reply.manifest)
+            if reply.revision <= self._held.revision:
+                self._trust.confirm(sent - reply.age)
+            if reply.trusted and reply.revision == self._held.revision:
+                known = [info.id for info in self._peers.known()]
+                self._trust.adopt(self._clock.seconds(), known)
+        except errors.CicadafrontError as error:
+            _log(f"{peer} gave no configuration", error)
+            return False
+        return True
+
+    async def _fetch(self, peer: str, manifest: parts.Manifest) -> None:
+        now = self._clock.seconds()
+        revision, started = self._fetching
+        under_way = (
+            revision >= manifest.revision and now - started < RETRY_SECONDS
+        )
+        if under_way or not self._held.newer(manifest.revision):
+            return
+        self._fetching = manifest.revision, now
+        missing = self._cache.missing(manifest)
+        for start in range(0, len(missing), PARTS_AT_ONCE):
+            some = missing[start : start + PARTS_AT_ONCE]
+            await self._fetch_parts(peer, some)
+        self._accept(manifest)
+
+    async def _fetch_parts(self, peer: str, digests: list[str]) -> None:
+        calls = [
+            self._calls.call(
+                peer, PART_METHOD, bytes.fromhex(digest), PART_TIMEOUT_SECONDS
+            )
+            for digest in digests
+        ]
+        results: Any = await defer.DeferredList(calls, consumeErrors=True)
+        for digest, (good, result) in zip(digests, results, strict=True):
+            if not good:
+                result.raiseException()
+            self._cache.add(digest, result)
+
+    def _on_announcement(self, payload: bytes) -> None:
+        try:
+            revision, instance = exchange.decode_announcement(payload)
+        except exchange.MessageError as error:
+            _log("an announcement was dropped", error)
+            return
+        self._announced = max(self._announced, revision)
+        self._trust.exists(revision)
+        if self._held.newer(revision):
+            wait = self._random.uniform(0, FETCH_SPREAD_SECONDS)
+            self._clock.callLater(wait, self._follow, revision, instance)
+
+    def _follow(self, revision: int, instance: str) -> None:
+        async def follow() -> None:
+            for peer in [*self._peers.near(2), instance]:
+                if not self._held.newer(revision):
+                    return
+                if peer != self._id:
+                    await self._ask(peer)
+
+        defer.ensureDeferred(follow()).addErrback(_report)
+
+    # For peers.
+
+    def _serve_manifest(self, _caller: str, body: bytes) -> bytes:
+        now = self._clock.seconds()
+        return exchange.encode_reply(
+            exchange.decode_query(body),
+            self._held.manifest,
+            self._trust.age(now),
+            self.confirmed(now),
+            {exchange.prefix(m.digest): m for m in self._manifests},
+        )
+
+    def _serve_part(self, _caller: str, body: bytes) -> bytes:
+        packed = self._cache.packed(body.hex())
+        if packed is None:
+            raise parts.PartDamagedError(
+                f"part {body.hex()[:64]} is not held here; ask another peer"
+            )
+        return packed
+
+
+def _log(what: str, error: errors.CicadafrontError) -> None:
+    eliot.log_message(
+        message_type="config:sync_failed",
+        message=f"config: {what}",
+        code=error.code,
+        reason=error.message,
+    )
+
+
+def _report(failure: Any) -> None:
+    eliot.log_message(
+        message_type="config:sync_error",
+        message="config: a step of the exchange failed unexpectedly",
+        reason=failure.getTraceback(),
+    )
--- /dev/null
+++ b/src/cicadafront/config/trust.py
@@ -0,0 +1,137 @@
+"""Rules for who watches the store and when keys may be honoured.
+
+Evidence is a time at which the store held no revision newer than the one in
+force here. Watchers get it from the store; others get its age from peers. An
+instance honours keys while its evidence is younger than 4 s, so that a key
+revoked at time T is refused everywhere by T + 4 s.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+from cicadafront import ports
+
+MAX_EVIDENCE_SECONDS = 4.0
+WATCHERS_PER_DATA_CENTRE = 3
+# A tree of width 16 reaches the 217 instances of a data centre in 2 steps
+# below the watchers, each of which adds about 1.1 s to the evidence's age.
+CHILDREN = 16
+# Longer than gossip needs to notice a partition, so that an instance that is
+# being cut off does not shrink the set whose majority it must hear.
+KNOWN_SECONDS = 60.0
+
+
+def ranking(
+    instances: Iterable[ports.InstanceInfo], data_centre: str
+) -> list[str]:
+    """Returns the live instances of a data centre by hash of their id."""
+    ids = [
+        info.id
+        for info in instances
+        if info.alive and not info.leaving and info.data_centre == data_centre
+    ]
+    return sorted(ids, key=lambda id: (_hash(data_centre, id), id))
+
+
+def _hash(data_centre: str, id: str) -> bytes:
+    return hashlib.sha256(f"{data_centre}/{id}".encode()).digest()
+
+
+def watchers(ranked: list[str]) -> list[str]:
+    """Returns the instances of a ranking that watch the store."""
+    return ranked[:WATCHERS_PER_DATA_CENTRE]
+
+
+def source(ranked: list[str], id: str) -> str | None:
+    """Returns whom an instance asks for evidence; None for watchers."""
+    rank = ranked.index(id) if id in ranked else len(ranked)
+    if rank < WATCHERS_PER_DATA_CENTRE:
+        return None
+    return ranked[(rank - WATCHERS_PER_DATA_CENTRE) // CHILDREN]
+
+
+class Trust:
+    """Decides whether the keys of the configuration may be honoured."""
+
+    def __init__(self) -> None:
+        self._evidence: float | None = None
+        self._heard: float | None = None
+        self._newest = 0
+        # Time at which each known instance was last seen alive.
+        self._known: dict[str, float] = {}
+        self._majority = False
+
+    def confirm(self, at: float) -> None:
+        """Notes that no newer revision existed at a time."""
+        if self._evidence is None or at > self._evidence:
+            self._evidence = at
+
+    def heard(self, now: float) -> None:
+        """Notes that a peer has answered."""
+        self._heard = now
+
+    def exists(self, revision: int) -> None:
+        """Notes that a revision exists somewhere."""
+        self._newest = max(self._newest, revision)
+
+    def age(self, now: float) -> float:
+        """Returns the age of the evidence in seconds; infinite if none."""
+        if self._evidence is None:
+            return float("inf")
+        return max(0.0, now - self._evidence)
+
+    def fresh(self, now: float) -> bool:
+        """Tells whether the evidence is young enough by itself."""
+        return self.age(now) < MAX_EVIDENCE_SECONDS
+
+    def observe(
+        self, now: float, revision: int, instances: list[ports.InstanceInfo]
+    ) -> None:
+        """Notes which instances live.
+
+        The set of known instances follows only while this instance is
+        trusted: a minority keeps the set from before it was cut off.
+        """
+        alive = {info.id for info in instances if info.alive}
+        leaving = {info.id for info in instances if info.leaving}
+        self._count(alive, leaving)
+        if not self.confirmed(now, revision):
+            return
+        self._known |= dict.fromkeys(alive, now)
+        self._known = {
+            id: seen
+            for id, seen in self._known.items()
+            if seen >= now - KNOWN_SECONDS
+        }
+        self._count(alive, leaving)
+
+    def _count(self, alive: set[str], leaving: set[str]) -> None:
+        known = self._known.keys() - leaving
+        self._majority = 2 * len(known & alive) > len(known)
+
+    def adopt(self, now: float, known: Iterable[str]) -> None:
+        """Takes over the known instances from a trusted peer at the start.
+
+        Instances that start during an outage of the store have no evidence
+        of their own and would otherwise refuse until its end.
+        """
+        if not self._known:
+            self._known = dict.fromkeys(known, now)
+
+    def confirmed(self, now: float, revision: int) -> bool:
+        """Tells whether keys of the revision in force may be honoured."""
+        if revision <= 0:
+            return False
+        if self.fresh(now):
+            return True
+        return (
+            revision >= self._newest
+            and self._majority
+            and (len(self._known) == 1 or self._hears_someone(now))
+        )
+
+    def _hears_someone(self, now: float) -> bool:
+        # Gossip needs seconds to notice that all others are gone.
+        return (
+            self._heard is not None and now - self._heard < MAX_EVIDENCE_SECONDS
+        )
