--- /dev/null
+++ b/src/cicadafront/agent/observer.py
@@ -0,0 +1,81 @@
+"""What an agent reports about the work of its targets."""
+
+from typing import Protocol
+
+import attrs
+
+from cicadafront.peer import exchange
+
+
+@attrs.frozen
+class Completed:
+    """The answer arrived whole.
+
+    Attributes:
+        status: HTTP status.
+        seconds: Time from the hand-over to the end of the answer.
+    """
+
+    status: int
+    seconds: float
+
+
+@attrs.frozen
+class Failed:
+    """The exchange failed at the target.
+
+    Attributes:
+        kind: `refused` (no connection), `closed` (no answer), `short` (the
+            body ended early) or `mangled` (no valid answer, or bytes beyond).
+    """
+
+    kind: str
+
+
+@attrs.frozen
+class Stalled:
+    """The deadline passed while the target ran the request.
+
+    Attributes:
+        seconds: Time since the hand-over.
+    """
+
+    seconds: float
+
+
+@attrs.frozen
+class Cancelled:
+    """The caller gave up; this says nothing about the target."""
+
+
+Outcome = Completed | Failed | Stalled | Cancelled
+
+
+class Observer(Protocol):
+    """Judges targets by their work."""
+
+    def started(
+        self, now: float, target: str, request: exchange.OpenRequest
+    ) -> object:
+        """Notes a hand-over and returns a token for `finished`."""
+
+    def finished(self, now: float, token: object, outcome: Outcome) -> None:
+        """Notes the end of an exchange."""
+
+    def mangled(self, now: float, target: str) -> None:
+        """Notes bytes from a target that belong to no request."""
+
+
+class NullObserver:
+    """Judges nothing."""
+
+    def started(
+        self, now: float, target: str, request: exchange.OpenRequest
+    ) -> object:
+        """Returns an empty token."""
+
+    def finished(self, now: float, token: object, outcome: Outcome) -> None:
+        """Ignores the outcome."""
+
+    def mangled(self, now: float, target: str) -> None:
+        """Ignores stray bytes."""
--- /dev/null
+++ b/src/cicadafront/agent/run.py
@@ -0,0 +1,259 @@
+"""One exchange at a target."""
+
+import enum
+from typing import Any, Protocol
+
+import attrs
+
+from cicadafront import errors, headers, model
+from cicadafront.agent import connection, idle, observer, queue, targets
+from cicadafront.peer import exchange
+
+DEADLINE_HEADER = b"X-Deadline-Ms"
+_DROPPED = frozenset({DEADLINE_HEADER.lower()})
+
+_REASONS = {
+    "refused": "accepts no connections",
+    "closed": "closed the connection without an answer",
+    "short": "broke off its answer",
+    "mangled": "sent bytes that are no valid answer",
+}
+
+
+class Site(Protocol):
+    """The agent as its exchanges use it."""
+
+    slots: queue.Queue
+    watcher: observer.Observer
+    connector: targets.Connector
+    clock: Any
+    idle: idle.IdleConnections
+    accepting: bool
+    running: set[object]
+
+    def place(self, id: str) -> targets.LocalTarget:
+        """Returns a target that takes work, or raises a `RequestError`."""
+
+
+class _State(enum.Enum):
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    RUNNING = "running"
+    DONE = "done"
+
+
+class Run:
+    """Runs one request; a `RequestSink` and a `connection.Exchange`."""
+
+    def __init__(
+        self,
+        owner: Site,
+        request: exchange.OpenRequest,
+        response: exchange.ResponseSink,
+    ):
+        now = owner.clock.seconds()
+        self._agent = owner
+        self._request = request
+        self._response = response
+        self._state = _State.QUEUED
+        self._deadline = now + request.timeout
+        self._entry = queue.Entry(
+            request.target,
+            0,
+            request.account,
+            request.weight,
+            self._deadline,
+        )
+        self._timer: Any = None
+        self._connection: connection.TargetConnection | None = None
+        self._pending: list[bytes] = []
+        self._ended = False
+        self._token: object = None
+        self._started = 0.0
+        self._status = 0
+
+    def start(self) -> None:
+        """Asks for a slot."""
+        try:
+            place = self._agent.place(self._request.target)
+        except errors.RequestError as error:
+            self._refuse(error)
+            return
+        self._entry = attrs.evolve(self._entry, slots=place.target.slots)
+        self._timer = self._agent.clock.callLater(
+            self._request.timeout, self._expire
+        )
+        self._agent.slots.submit(self._entry, self._connect, self._refuse)
+
+    # Request body, from the entry.
+
+    def body(self, data: bytes) -> None:
+        """Passes on a piece of the request body."""
+        if self._state is _State.RUNNING and self._connection is not None:
+            self._connection.send_body(data)
+        elif self._state is not _State.DONE:
+            self._pending.append(data)
+
+    def end(self) -> None:
+        """Passes on the end of the request body."""
+        self._ended = True
+        if self._state is _State.RUNNING and self._connection is not None:
+            self._connection.send_end()
+
+    def cancel(self) -> None:
+        """Closes the target connection."""
+        self._close(observer.Cancelled())
+
+    def consumed(self, count: int) -> None:
+        """Lets the target send further answer bytes."""
+        if self._state is _State.RUNNING and self._connection is not None:
+            self._connection.source.consumed(count)
+
+    # Slot and connection.
+
+    def _connect(self) -> None:
+        if self._state is not _State.QUEUED:
+            return
+        try:
+            place = self._agent.place(self._request.target)
+        except errors.RequestError as error:
+            self._refuse(error)
+            return
+        self._state = _State.CONNECTING
+        if self._request.repeatable:
+            # A reused connection that turns out stale cannot tell whether
+            # the request ran, so only repeatable requests take that risk.
+            found = self._agent.idle.take(self._request.target)
+            if found is not None:
+                found.run(self)
+                return
+        made = connection.TargetConnection(
+            self._request.target, self._agent.idle, self
+        )
+        failed = self._agent.connector.connect(place, made)
+        failed.addErrback(lambda _: self.broken("refused"))
+
+    def connected(self, connection: connection.TargetConnection) -> None:
+        """Hands the request over."""
+        if self._state is not _State.CONNECTING:
+            connection.abort()
+            return
+        now = self._agent.clock.seconds()
+        self._connection = connection
+        self._state = _State.RUNNING
+        self._started = now
+        watcher = self._agent.watcher
+        self._token = watcher.started(now, self._request.target, self._request)
+        connection.send_head(self._head(now))
+        pending, self._pending = self._pending, []
+        for data in pending:
+            connection.send_body(data)
+        if self._ended:
+            connection.send_end()
+
+    def _head(self, now: float) -> model.RequestHead:
+        head = self._request.head
+        remaining = max(0, int((self._deadline - now) * 1000))
+        kept = [
+            (name, value)
+            for name, value in head.headers
+            if name.lower() not in _DROPPED
+        ]
+        if not headers.value_of(kept, b"host"):
+            kept.insert(0, (b"Host", self._request.service.encode()))
+        kept.append((DEADLINE_HEADER, b"%d" % remaining))
+        return attrs.evolve(head, headers=tuple(kept))
+
+    # Answer, from the target.
+
+    def answer_head(self, head: model.ResponseHead) -> None:
+        """Passes on the head of the answer."""
+        self._status = head.status
+        self._response.head(head, self._load())
+
+    def answer_body(self, data: bytes) -> None:
+        """Passes on a piece of the answer."""
+        self._response.body(data)
+
+    def answer_end(self, reusable: bool, mangled: bool) -> None:
+        """Passes on the end of the answer and frees the slot."""
+        if self._state is not _State.RUNNING:
+            return
+        found, self._connection = self._connection, None
+        seconds = self._agent.clock.seconds() - self._started
+        outcome: observer.Outcome = observer.Completed(self._status, seconds)
+        if mangled:
+            outcome = observer.Failed("mangled")
+        if reusable and found is not None and self._agent.accepting:
+            self._agent.idle.put(found, self._entry.slots)
+        elif reusable and found is not None:
+            found.abort()
+        self._close(outcome)
+        self._response.end()
+
+    def broken(self, kind: str) -> None:
+        """Ends the exchange because the target failed."""
+        if self._state is _State.DONE:
+            return
+        executed = errors.Executed.UNKNOWN
+        if self._state is not _State.RUNNING:
+            executed = errors.Executed.NO
+            # Only a hand-over gets a token; a refused connection counts too.
+            self._token = self._agent.watcher.started(
+                self._agent.clock.seconds(),
+                self._request.target,
+                self._request,
+            )
+        self._close(observer.Failed(kind), judged=True)
+        error = errors.TargetFailedError(
+            f"Target {self._request.target} {_REASONS[kind]}.",
+            executed=executed,
+        )
+        self._response.fail(error, self._load())
+
+    def body_consumed(self, count: int) -> None:
+        """Opens the window for further request bytes."""
+        self._response.consumed(count)
+
+    # Ends.
+
+    def _expire(self) -> None:
+        if self._state is _State.DONE:
+            return
+        handed_over = self._state is _State.RUNNING
+        seconds = self._agent.clock.seconds() - self._started
+        executed = errors.Executed.NO
+        if handed_over:
+            executed = errors.Executed.UNKNOWN
+        self._close(observer.Stalled(seconds))
+        self._response.fail(
+            errors.DeadlineExceededError(
+                "The time limit of the route has passed.", executed=executed
+            ),
+            self._load(),
+        )
+
+    def _refuse(self, error: errors.RequestError) -> None:
+        if self._state is not _State.DONE:
+            self._close(observer.Cancelled())
+            self._response.fail(error, self._load())
+
+    def _close(self, outcome: observer.Outcome, judged: bool = False) -> None:
+        if self._state is _State.DONE:
+            return
+        judged = judged or self._state is _State.RUNNING
+        self._state = _State.DONE
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+        self._pending.clear()
+        if judged:
+            now = self._agent.clock.seconds()
+            self._agent.watcher.finished(now, self._token, outcome)
+        self._agent.running.discard(self)
+        self._agent.slots.remove(self._entry)
+
+    def _load(self) -> exchange.Load:
+        return self._agent.slots.load(self._request.target)
--- /dev/null
+++ b/src/cicadafront/daemon/root.py
@@ -0,0 +1,269 @@
+"""Composition root: builds a daemon out of its parts."""
+
+import collections
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet import defer, protocol, task
+
+from cicadafront import ports
+from cicadafront.agent import agent, observer, queue, targets
+from cicadafront.config import model as config_model
+from cicadafront.daemon import local, options, supervisor
+from cicadafront.edge import forward, parts, policies, server
+from cicadafront.peer import codec, exchange, link, pool
+
+IDLE_CHECK_SECONDS = 5.0
+# Interval at which a planned stop looks whether all work has ended.
+DRAIN_CHECK_SECONDS = 0.02
+# Time that peers have to close their side of a finished link.
+LINK_CLOSE_SECONDS = 1.0
+
+
+@attrs.define
+class Fleet:
+    """The parts that know the fleet; each has a stand-in for one process.
+
+    Attributes:
+        directory: Instances and targets.
+        beside: Targets beside this instance.
+        configuration: Returns the accepted configuration, or None.
+        admission: Rates of client accounts.
+        records: Idempotency records.
+        confirmed: Whether keys can be trusted at the moment.
+        slots: Slots and queue of the targets beside this instance.
+        watcher: Judges the targets beside this instance.
+        suspects: Refuses requests that crash targets.
+        budget: Bounds retries.
+        picker: Chooses targets; the least loaded of two without one.
+        announce_leaving: Tells the fleet about a planned stop.
+    """
+
+    directory: ports.Directory
+    beside: targets.LocalTargets
+    configuration: Callable[[], config_model.Configuration | None]
+    admission: ports.Admission = attrs.field(factory=local.OpenAdmission)
+    records: ports.OutcomeRecords = attrs.field(factory=local.LocalRecords)
+    confirmed: Callable[[], bool] = lambda: True
+    slots: queue.Queue = attrs.field(factory=queue.FifoQueue)
+    watcher: observer.Observer = attrs.field(factory=observer.NullObserver)
+    suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
+    budget: policies.RetryBudget = attrs.field(factory=policies.ShareBudget)
+    picker: policies.Picker | None = None
+    announce_leaving: Callable[[], None] = lambda: None
+
+
+class _PeerFactory(protocol.Factory):
+    noisy = False
+
+    def __init__(self, services: link.Services):
+        self._services = services
+        self.links: set[link.Link] = set()
+
+    def buildProtocol(self, addr: Any) -> link.Link:  # noqa: N802
+        made = link.Link(self._services, on_closed=self.links.discard)
+        self.links.add(made)
+        return made
+
+
+class Daemon:
+    """One instance.
+
+    Attributes:
+        counts: Counters of all parts.
+        calls: Calls to and from other instances.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        settings: options.DaemonOptions,
+        fleet: Fleet,
+        rng: random.Random | None = None,
+    ):
+        self._reactor = reactor
+        self._settings = settings
+        self._fleet = fleet
+        self._rng = rng or random.Random()
+        self._stopping: defer.Deferred[None] | None = None
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.agent = agent.Agent(
+            fleet.beside,
+            fleet.slots,
+            fleet.watcher,
+            targets.TcpConnector(reactor),
+            reactor,
+        )
+        self._build_peer()
+        self._build_edge()
+        self._build_tree()
+
+    def _build_peer(self) -> None:
+        settings = self._settings
+        handlers: dict[str, ports.CallHandler] = {}
+        hello = codec.Hello(
+            settings.instance, settings.incarnation, link.PROTOCOL_VERSION
+        )
+        opener = pool.Relay(settings.instance, self.agent, self._open_at)
+        services = link.Services(
+            hello, opener, handlers, self._reactor, self.counts
+        )
+        self.calls = pool.Pool(
+            services, self._address_of, self._reactor, handlers
+        )
+        self._peers = _PeerFactory(services)
+
+    def _build_edge(self) -> None:
+        fleet = self._fleet
+        picker = fleet.picker or policies.LeastOfTwo(
+            fleet.directory.targets, self._rng
+        )
+        site = parts.Parts(
+            configuration=fleet.configuration,
+            admission=fleet.admission,
+            records=fleet.records,
+            picker=picker,
+            budget=fleet.budget,
+            open_at=self.calls.open,
+            targets=fleet.directory.targets,
+            relay=self._relay,
+            clock=self._reactor,
+            suspects=fleet.suspects,
+            confirmed=fleet.confirmed,
+            counts=self.counts,
+        )
+        self._forwarder = forward.Forwarder(site)
+        self._edge = server.Site(self._forwarder, self._reactor, self.counts)
+
+    def _build_tree(self) -> None:
+        self._peer_port = supervisor.Listener(
+            "peer listener",
+            self._reactor,
+            self._settings.peer,
+            self._peers,
+            self._rng,
+        )
+        self._edge_port = supervisor.Listener(
+            "edge listener",
+            self._reactor,
+            self._settings.edge,
+            server.Factory(self._edge),
+            self._rng,
+        )
+        self.tree = supervisor.Supervisor()
+        self.tree.add(self._peer_port)
+        self.tree.add(
+            supervisor.Periodic(
+                "idle link check",
+                self._reactor,
+                IDLE_CHECK_SECONDS,
+                self.calls.close_idle,
+                self._rng,
+            )
+        )
+        self.tree.add(self._edge_port)
+
+    @property
+    def edge_port(self) -> int:
+        """Port for callers, once started."""
+        return self._edge_port.port
+
+    @property
+    def peer_port(self) -> int:
+        """Port for other instances, once started."""
+        return self._peer_port.port
+
+    def _address_of(self, instance: str) -> tuple[str, int] | None:
+        found = self._fleet.directory.instance(instance)
+        return found.peer_address if found is not None else None
+
+    def _open_at(
+        self,
+        instance: str,
+        request: exchange.OpenRequest,
+        response: exchange.ResponseSink,
+    ) -> exchange.RequestSink:
+        return self.calls.open(instance, request, response)
+
+    def _relay(self, instance: str) -> str | None:
+        here = self._settings.instance
+        third = [
+            other.id
+            for other in self._fleet.directory.instances()
+            if other.id not in (here, instance)
+            and other.alive
+            and not other.leaving
+            and not self.calls.is_down(other.id)
+        ]
+        return self._rng.choice(third) if third else None
+
+    def start(self) -> "defer.Deferred[None]":
+        """Starts all parts; fails with `StartError`."""
+        return self.tree.start()
+
+    def stop(self) -> "defer.Deferred[None]":
+        """Stops gracefully: running exchanges of all roles are finished."""
+        if self._stopping is None:
+            self._stopping = self._drain()
+        return self._stopping
+
+    @defer.inlineCallbacks
+    def _drain(self) -> Any:
+        settings = self._settings
+        began = self._reactor.seconds()
+        supervisor.log("leaving: no new connections are accepted.")
+        yield self._edge_port.stop()
+        self._edge.drain()
+        self._fleet.announce_leaving()
+        # Peers choose the targets here until they learn of the stop, and
+        # callers may have sent a request on a connection that looks idle.
+        yield self._until(began + settings.leave_seconds, self._unused)
+        self.agent.accepting = False
+        self.agent.idle.close()
+        self._edge.close_idle()
+        yield self._until(began + settings.stop_seconds, self._finished)
+        self._log_cut()
+        yield self._close_links()
+        yield self.tree.stop()
+        supervisor.log("stopped.")
+
+    def _unused(self) -> bool:
+        """Whether nobody can still send work here."""
+        return not (self._peers.links or self._edge.connections)
+
+    def _finished(self) -> bool:
+        busy = any(accepted.busy for accepted in self._peers.links)
+        running = self._forwarder.running or self.agent.running
+        return not (busy or running or self._edge.connections)
+
+    def _until(
+        self, limit: float, condition: Callable[[], bool]
+    ) -> "defer.Deferred[Any]":
+        def check() -> None:
+            if condition() or self._reactor.seconds() >= limit:
+                waiting.stop()
+
+        waiting = task.LoopingCall(check)
+        waiting.clock = self._reactor
+        return waiting.start(DRAIN_CHECK_SECONDS)
+
+    def _log_cut(self) -> None:
+        left = {
+            "exchanges of callers": len(self._forwarder.running),
+            "exchanges at targets": len(self.agent.running),
+            "connections of callers": len(self._edge.connections),
+        }
+        for name, count in left.items():
+            if count:
+                supervisor.log(f"the time limit cuts {count} {name}.")
+        for connection in list(self._edge.connections):
+            connection.abort()
+
+    def _close_links(self) -> "defer.Deferred[Any]":
+        for accepted in list(self._peers.links):
+            accepted.finish()
+        self.calls.close()
+        limit = self._reactor.seconds() + LINK_CLOSE_SECONDS
+        return self._until(limit, lambda: not self._peers.links)
--- /dev/null
+++ b/src/cicadafront/edge/attempt.py
@@ -0,0 +1,99 @@
+"""One attempt to run a request at a target."""
+
+import collections
+from typing import Protocol
+
+from cicadafront import errors, model
+from cicadafront.peer import exchange
+
+
+class Parent(Protocol):
+    """The exchange that an attempt belongs to."""
+
+    def attempt_head(
+        self, attempt: "Attempt", head: model.ResponseHead, load: exchange.Load
+    ) -> None:
+        """The head of the answer has arrived."""
+
+    def attempt_body(self, data: bytes) -> None:
+        """A piece of the answer has arrived."""
+
+    def attempt_end(self) -> None:
+        """The answer is complete."""
+
+    def attempt_failed(
+        self,
+        attempt: "Attempt",
+        error: errors.RequestError,
+        load: exchange.Load,
+    ) -> None:
+        """The attempt failed."""
+
+    def attempt_took(self, attempt: "Attempt", total: int) -> None:
+        """The target took `total` bytes of the body so far."""
+
+
+class Attempt:
+    """Takes the answer of one attempt and drops what comes after its end.
+
+    Attributes:
+        target: The chosen target.
+        request: Takes the request body once the stream is open.
+        done: Whether the attempt has ended.
+    """
+
+    def __init__(
+        self,
+        parent: Parent,
+        target: model.Target,
+        counts: collections.Counter[str],
+    ):
+        self.target = target
+        self.request: exchange.RequestSink | None = None
+        self.done = False
+        self._parent = parent
+        self._counts = counts
+        self._taken = 0
+        self._headed = False
+
+    def cancel(self) -> None:
+        """Gives the attempt up."""
+        if not self.done:
+            self.done = True
+            if self.request is not None:
+                self.request.cancel()
+
+    def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
+        """Takes the head of the answer."""
+        if self._headed or self._stale():
+            return
+        self._headed = True
+        self._parent.attempt_head(self, head, load)
+
+    def body(self, data: bytes) -> None:
+        """Takes a piece of the answer."""
+        if not self._stale():
+            self._parent.attempt_body(data)
+
+    def end(self) -> None:
+        """Takes the end of the answer."""
+        if not self._stale():
+            self.done = True
+            self._parent.attempt_end()
+
+    def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
+        """Takes the failure of the attempt."""
+        if not self._stale():
+            self.done = True
+            self._parent.attempt_failed(self, error, load)
+
+    def consumed(self, count: int) -> None:
+        """Takes the progress of the request body."""
+        if not self.done:
+            self._taken += count
+            self._parent.attempt_took(self, self._taken)
+
+    def _stale(self) -> bool:
+        if self.done:
+            self._counts["answers_dropped"] += 1
+        return self.done
--- /dev/null
+++ b/src/cicadafront/edge/framing.py
@@ -0,0 +1,85 @@
+"""Rules for the heads of callers' requests."""
+
+import re
+import urllib.parse
+
+import h11
+
+from cicadafront import errors, headers, model
+
+MAX_HEAD_BYTES = 32 * 1024
+# The edge answers `Expect` itself and never passes the key on.
+_DROPPED = frozenset({b"authorization", b"expect"})
+_BEARER = b"bearer "
+_ORIGIN = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://[^/?#]*")
+
+
+def _size(request: h11.Request) -> int:
+    fields = request.headers.raw_items()
+    lines = sum(len(name) + len(value) + 4 for name, value in fields)
+    return len(request.method) + len(request.target) + 12 + lines
+
+
+def _check(request: h11.Request) -> None:
+    if _size(request) > MAX_HEAD_BYTES:
+        raise errors.BadRequestError(
+            f"The head is larger than {MAX_HEAD_BYTES} bytes; send less.",
+            code="head_too_large",
+            status=431,
+        )
+    names = [name for name, _ in request.headers]
+    lengths = names.count(b"content-length")
+    coded = names.count(b"transfer-encoding")
+    if lengths and coded or lengths > 1 or coded > 1:
+        raise errors.BadRequestError(
+            "Content-Length and Transfer-Encoding conflict; send one of them.",
+            code="framing_conflict",
+        )
+    if coded and request.http_version < b"1.1":
+        raise errors.BadRequestError(
+            "HTTP/1.0 has no Transfer-Encoding; send Content-Length.",
+            code="framing_conflict",
+        )
+    if request.method == b"CONNECT":
+        raise errors.BadRequestError(
+            "CONNECT is not offered.", code="method_refused", status=405
+        )
+
+
+def _path(target: str) -> str:
+    path = _ORIGIN.sub("", target, count=1)
+    if path != target and not path.startswith("/"):
+        path = "/" + path
+    if not path.startswith("/") and path != "*":
+        raise errors.BadRequestError("The request target must be a path.")
+    decoded = urllib.parse.unquote(path.partition("?")[0])
+    segments = decoded.replace("\\", "/").split("/")
+    if "." in segments or ".." in segments:
+        # A target that resolves them would run another route's request.
+        raise errors.BadRequestError(
+            "The path holds `.` or `..` segments; send the resolved path."
+        )
+    return path
+
+
+def request_head(request: h11.Request) -> tuple[model.RequestHead, str]:
+    """Returns the head to pass on and the caller's token, or "".
+
+    A body of unknown length is marked by `Transfer-Encoding: chunked`, which
+    each hop applies anew.
+
+    Raises:
+        BadRequestError: The head breaks a framing rule or a limit.
+    """
+    _check(request)
+    fields = request.headers.raw_items()
+    kept = headers.end_to_end(fields, _DROPPED)
+    if headers.value_of(fields, b"transfer-encoding"):
+        kept += (headers.CHUNKED,)
+    authorization = headers.value_of(fields, b"authorization")
+    token = ""
+    if authorization[: len(_BEARER)].lower() == _BEARER:
+        token = authorization[len(_BEARER) :].strip().decode("latin-1")
+    path = _path(request.target.decode("ascii"))
+    head = model.RequestHead(request.method.decode("ascii"), path, kept)
+    return head, token
--- /dev/null
+++ b/src/cicadafront/edge/parts.py
@@ -0,0 +1,45 @@
+"""What the entry uses of its instance."""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from cicadafront import model, ports
+from cicadafront.config import model as config_model
+from cicadafront.edge import policies
+from cicadafront.peer import exchange
+
+
+@attrs.define
+class Parts:
+    """What the entry uses.
+
+    Attributes:
+        configuration: Returns the accepted configuration, or None.
+        confirmed: Returns whether keys can be trusted at the moment.
+        admission: Rates of client accounts.
+        records: Idempotency records.
+        picker: Chooses targets.
+        budget: Bounds retries.
+        suspects: Refuses requests that crash targets.
+        open_at: Opens an exchange at an instance.
+        targets: Returns the targets of a service.
+        relay: Returns a third instance on the way to an instance, or None.
+        clock: Source of time and timers.
+        counts: Counts retries and dropped answers.
+    """
+
+    configuration: Callable[[], config_model.Configuration | None]
+    admission: ports.Admission
+    records: ports.OutcomeRecords
+    picker: policies.Picker
+    budget: policies.RetryBudget
+    open_at: Callable[..., exchange.RequestSink]
+    targets: Callable[[str], list[model.Target]]
+    relay: Callable[[str], str | None]
+    clock: Any
+    suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
+    confirmed: Callable[[], bool] = lambda: True
+    counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
--- /dev/null
+++ b/src/cicadafront/edge/policies.py
@@ -0,0 +1,130 @@
+"""Replaceable decisions of the entry, with simple defaults."""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from cicadafront import errors, model
+from cicadafront.peer import exchange
+
+
+class Picker(Protocol):
+    """Chooses targets."""
+
+    def pick(
+        self, service: str, exclude: frozenset[str], now: float
+    ) -> model.Target | None:
+        """Returns a target of the service, or None if none can take work."""
+
+    def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
+        """Notes the load that an agent reported."""
+
+
+class RetryBudget(Protocol):
+    """Bounds the share of requests that are attempts after the first."""
+
+    def request(self, service: str, now: float) -> None:
+        """Notes a first attempt."""
+
+    def try_retry(self, service: str, now: float) -> bool:
+        """Takes one retry out of the budget, if there is one."""
+
+
+class Suspects(Protocol):
+    """Requests that have crashed targets."""
+
+    def check(self, account: str, fingerprint: bytes) -> None:
+        """Raises `RequestCrashesTargetsError` for a refused request."""
+
+
+class NoSuspects:
+    """Refuses nothing."""
+
+    def check(self, account: str, fingerprint: bytes) -> None:
+        """Accepts the request."""
+
+
+class LeastOfTwo:
+    """Takes the less loaded of two random targets."""
+
+    def __init__(
+        self,
+        targets: Callable[[str], list[model.Target]],
+        rng: random.Random,
+    ):
+        self._targets = targets
+        self._rng = rng
+        self._loads: dict[str, exchange.Load] = {}
+
+    def pick(
+        self, service: str, exclude: frozenset[str], now: float
+    ) -> model.Target | None:
+        """Returns a serving target that is not excluded, or None."""
+        serving = [
+            target
+            for target in self._targets(service)
+            if target.state is model.TargetState.SERVING
+            and target.id not in exclude
+        ]
+        if len(serving) > 2:
+            serving = self._rng.sample(serving, 2)
+        return min(serving, key=self._pressure, default=None)
+
+    def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
+        """Notes the load that an agent reported."""
+        self._loads[target_id] = load
+
+    def _pressure(self, target: model.Target) -> tuple[float, float]:
+        load = self._loads.get(target.id, exchange.Load())
+        busy = load.slots_in_use + load.queued
+        return busy / max(1, target.slots), self._rng.random()
+
+
+@attrs.define
+class _Allowance:
+    tokens: float
+    at: float
+
+
+class ShareBudget:
+    """A share of the requests plus a constant rate, per service."""
+
+    SHARE = 0.1
+    PER_SECOND = 3.0
+    # Retries saved up; bounds a burst after a quiet time.
+    MOST = 30.0
+
+    def __init__(self) -> None:
+        self._allowances: dict[str, _Allowance] = {}
+
+    def request(self, service: str, now: float) -> None:
+        """Notes a first attempt."""
+        allowance = self._refill(service, now)
+        allowance.tokens = min(self.MOST, allowance.tokens + self.SHARE)
+
+    def try_retry(self, service: str, now: float) -> bool:
+        """Takes one retry out of the budget, if there is one."""
+        allowance = self._refill(service, now)
+        if allowance.tokens < 1:
+            return False
+        allowance.tokens -= 1
+        return True
+
+    def _refill(self, service: str, now: float) -> _Allowance:
+        found = self._allowances.setdefault(
+            service, _Allowance(self.PER_SECOND, now)
+        )
+        earned = max(0.0, now - found.at) * self.PER_SECOND
+        found.tokens = min(self.MOST, found.tokens + earned)
+        found.at = max(found.at, now)
+        return found
+
+
+def unavailable(service: str) -> errors.RequestError:
+    """Returns the error for a service without a usable target."""
+    return errors.NoTargetError(
+        f"No target of service {service} can take the request; try again.",
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/src/cicadafront/edge/problem.py
@@ -0,0 +1,40 @@
+"""Error answers (RFC 9457)."""
+
+import http
+import json
+import math
+
+from cicadafront import errors, model
+
+# Statuses whose answers tell when a retry makes sense, and the default.
+_RETRIED = frozenset({429, 503})
+_RETRY_AFTER_SECONDS = 1
+
+
+def _title(status: int) -> str:
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return "Error"
+
+
+def answer(error: errors.RequestError) -> tuple[model.ResponseHead, bytes]:
+    """Returns head and body of the answer for an error."""
+    fields = {
+        "title": _title(error.status),
+        "status": error.status,
+        "detail": error.message,
+        "code": error.code,
+        "executed": error.executed.value,
+    }
+    body = json.dumps(fields).encode()
+    headers = [
+        (b"Content-Type", b"application/problem+json"),
+        (b"Content-Length", b"%d" % len(body)),
+    ]
+    if error.status in _RETRIED or error.retry_after is not None:
+        seconds = error.retry_after or _RETRY_AFTER_SECONDS
+        headers.append((b"Retry-After", b"%d" % max(1, math.ceil(seconds))))
+    if error.status == http.HTTPStatus.UNAUTHORIZED:
+        headers.append((b"WWW-Authenticate", b"Bearer"))
+    return model.ResponseHead(error.status, tuple(headers)), body
--- a/src/cicadafront/model.py
+++ b/src/cicadafront/model.py
@@ -44,7 +44,10 @@
 
 @attrs.frozen
 class RequestHead:
-    """Head of a request without hop-by-hop headers and without the key."""
+    """Head of a request without hop-by-hop headers and without the key.
+
+    A body of unknown length is marked by `Transfer-Encoding: chunked`.
+    """
 
     method: str
     path: str
--- /dev/null
+++ b/src/cicadafront/peer/link.py
@@ -0,0 +1,378 @@
+"""One TCP connection between two instances.
+
+The instance that connects opens the streams and the calls; the other one
+serves them. A pair of instances that both open streams has two links, so no
+stream id is chosen on both sides.
+"""
+
+import collections
+import itertools
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import attrs
+import automat
+from twisted.internet import defer, interfaces, protocol
+from twisted.protocols import basic
+from twisted.python import failure
+
+from cicadafront import errors, ports
+from cicadafront.peer import codec, exchange, heartbeat, streams
+
+PROTOCOL_VERSION = 1
+# A configuration part or manifest (below 1 MB) travels in one frame.
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+HELLO_SECONDS = 2.0
+
+Counts = collections.Counter[str]
+
+
+def call_error(code: str, message: str) -> errors.CallFailedError:
+    """Returns a failed call with the code of its cause."""
+    error = errors.CallFailedError(message)
+    error.code = code
+    return error
+
+
+@attrs.frozen
+class Services:
+    """What a link needs from its instance.
+
+    Attributes:
+        hello: First frame of this side.
+        opener: Runs streams that the peer opens.
+        handlers: Call handlers by method.
+        clock: Source of time and timers.
+        counts: Counts dropped frames and lost links.
+    """
+
+    hello: codec.Hello
+    opener: exchange.Opener
+    handlers: Mapping[str, ports.CallHandler]
+    clock: Any
+    counts: Counts = attrs.field(factory=collections.Counter)
+
+
+class _Life(Protocol):
+    """Events in the life of a link."""
+
+    def connected(self) -> None:
+        """The TCP connection stands."""
+
+    def greeted(self) -> None:
+        """The peer has sent an acceptable hello."""
+
+    def lost(self) -> None:
+        """The TCP connection is gone or given up."""
+
+
+def _build_machine() -> Any:
+    builder = automat.TypeMachineBuilder(_Life, Link)
+    connecting = builder.state("connecting")
+    greeting = builder.state("greeting")
+    ready = builder.state("ready")
+    closed = builder.state("closed")
+
+    @connecting.upon(_Life.connected).to(greeting)
+    def _greet(life: _Life, link: "Link") -> None:
+        link.write_hello()
+
+    @greeting.upon(_Life.greeted).to(ready)
+    def _ready(life: _Life, link: "Link") -> None:
+        link.flush_early()
+
+    @connecting.upon(_Life.lost).to(closed)
+    def _failed(life: _Life, link: "Link") -> None:
+        link.fail_all(errors.Executed.NO)
+
+    @greeting.upon(_Life.lost).to(closed)
+    def _not_greeted(life: _Life, link: "Link") -> None:
+        link.fail_all(errors.Executed.NO)
+
+    @ready.upon(_Life.lost).to(closed)
+    def _lost(life: _Life, link: "Link") -> None:
+        link.fail_all(errors.Executed.UNKNOWN)
+
+    closed.upon(_Life.lost).loop().returns(None)
+    closed.upon(_Life.connected).loop().returns(None)
+    closed.upon(_Life.greeted).loop().returns(None)
+    ready.upon(_Life.greeted).loop().returns(None)
+    return builder.build()
+
+
+class Link(basic.Int32StringReceiver):
+    """A link, from the first connection attempt until it is closed.
+
+    Attributes:
+        peer: Id of the peer; of an accepted link, known after its hello.
+        closed: Whether the link is gone.
+        proven: Whether the peer has ever answered on this link.
+        ready: Whether frames go to the transport.
+        last_used: Time of the last use, in seconds of the clock.
+    """
+
+    MAX_LENGTH = MAX_FRAME_BYTES
+    transport: Any = None
+
+    def __init__(
+        self,
+        services: Services,
+        peer: str = "",
+        on_closed: Callable[["Link"], None] | None = None,
+    ):
+        self._services = services
+        self._clock = services.clock
+        self._accepted = not peer
+        self.peer = peer
+        self.ready = False
+        self.closed = False
+        self.proven = False
+        self.last_used = self._clock.seconds()
+        self._on_closed = on_closed
+        self._early: list[codec.Frame] = []
+        self._streams: dict[int, streams.Outgoing | streams.Incoming] = {}
+        self._calls: dict[int, defer.Deferred[bytes]] = {}
+        self._ids = itertools.count(1)
+        self._highest = 0
+        self._greeting: Any = None
+        self._heartbeat = heartbeat.Heartbeat(
+            self._clock, lambda: self.busy, self._ping, self._silent
+        )
+        self._life = _MACHINE(self)
+
+    @property
+    def busy(self) -> bool:
+        """Whether streams or calls are open."""
+        return bool(self._streams or self._calls)
+
+    def open(
+        self, request: exchange.OpenRequest, response: exchange.ResponseSink
+    ) -> exchange.RequestSink:
+        """Opens a stream; it waits until the link is ready."""
+        id = next(self._ids)
+        stream = streams.Outgoing(self, id, response)
+        self._streams[id] = stream
+        self.send(codec.Open(id, request))
+        self._watch()
+        if self.closed:
+            self._streams.pop(id)
+            self._clock.callLater(
+                0, stream.lost, self._loss(errors.Executed.NO)
+            )
+        return stream
+
+    def call(
+        self, method: str, body: bytes, timeout: float
+    ) -> defer.Deferred[bytes]:
+        """Calls a method of the peer; `timeout` is in seconds."""
+        if self.closed:
+            return defer.fail(call_error("call_failed", self._gone()))
+        id = next(self._ids)
+        result: defer.Deferred[bytes] = defer.Deferred()
+        self._calls[id] = result
+        result.addTimeout(
+            timeout,
+            self._clock,
+            lambda *_: failure.Failure(
+                call_error("call_timeout", f"{self.peer} did not answer.")
+            ),
+        )
+        result.addBoth(self._called, id)
+        self.send(codec.Call(id, method, body))
+        self._watch()
+        return result
+
+    def close(self) -> None:
+        """Closes the link; everything open on it fails."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+        self._life.lost()
+
+    def finish(self) -> None:
+        """Closes the link once all written frames are on their way."""
+        if self.ready:
+            self.transport.loseWriteConnection()
+        else:
+            self.close()
+
+    def send(self, frame: codec.Frame) -> None:
+        """Writes a frame, or queues it until the peer's hello."""
+        if self.ready:
+            self.sendString(codec.encode(frame))
+        elif not self.closed:
+            self._early.append(frame)
+
+    def forget(self, id: int) -> None:
+        """Removes a stream that has ended."""
+        self._streams.pop(id, None)
+        self.last_used = self._clock.seconds()
+
+    def drop(self, frame: codec.Frame) -> None:
+        """Counts a frame that fits no stream or call."""
+        self._services.counts["frames_dropped"] += 1
+
+    # Protocol.
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Starts the greeting."""
+        if interfaces.ITCPTransport.providedBy(self.transport):
+            self.transport.setTcpNoDelay(True)
+        if self.closed:
+            self.transport.abortConnection()
+            return
+        self._greeting = self._clock.callLater(HELLO_SECONDS, self.close)
+        self._life.connected()
+
+    def connectionLost(  # noqa: N802
+        self, reason: failure.Failure = protocol.connectionDone
+    ) -> None:
+        """Ends everything open on the link."""
+        self._life.lost()
+
+    def stringReceived(self, string: bytes) -> None:  # noqa: N802
+        """Takes one frame."""
+        self._heartbeat.heard()
+        try:
+            self._receive(codec.decode(string))
+        except codec.FrameError:
+            self._services.counts["frames_invalid"] += 1
+            self.close()
+
+    def lengthLimitExceeded(self, length: int) -> None:  # noqa: N802
+        """Closes the link on a frame that no instance sends."""
+        self._services.counts["frames_invalid"] += 1
+        self.close()
+
+    def _receive(self, frame: codec.Frame) -> None:
+        match frame:
+            case codec.Hello():
+                self._receive_hello(frame)
+            case _ if not self.ready:
+                self.drop(frame)
+            case codec.Open(id, request):
+                self._receive_open(id, request)
+            case codec.Call():
+                self._receive_call(frame)
+            case codec.Reply():
+                self._receive_reply(frame)
+            case codec.Ping(token):
+                self.send(codec.Pong(token))
+            case codec.Pong():
+                pass
+            case _:
+                stream = self._streams.get(frame.id)
+                if stream is None:
+                    self.drop(frame)
+                else:
+                    stream.receive(frame)
+
+    def _receive_hello(self, hello: codec.Hello) -> None:
+        expected = self.peer in ("", hello.instance)
+        if hello.version != PROTOCOL_VERSION or not expected:
+            self._services.counts["hellos_refused"] += 1
+            self.close()
+            return
+        self.peer = hello.instance
+        self._life.greeted()
+
+    def _receive_open(self, id: int, request: exchange.OpenRequest) -> None:
+        if not self._accepted or id <= self._highest:
+            self.drop(codec.End(id))
+            return
+        self._highest = id
+        stream = streams.Incoming(self, id)
+        self._streams[id] = stream
+        self._watch()
+        stream.attach(self._services.opener.open(request, stream))
+
+    def _receive_call(self, call: codec.Call) -> None:
+        handler = self._services.handlers.get(call.method)
+        if handler is None:
+            code = "method_unknown"
+            self.send(codec.Reply(call.id, code, call.method.encode()))
+            return
+        result = defer.maybeDeferred(handler, self.peer, call.body)
+        result.addCallbacks(
+            lambda body: self.send(codec.Reply(call.id, "", body)),
+            lambda reason: self.send(_error_reply(call.id, reason)),
+        )
+
+    def _receive_reply(self, reply: codec.Reply) -> None:
+        waiting = self._calls.pop(reply.id, None)
+        if waiting is None:
+            self.drop(reply)
+        elif reply.code:
+            text = reply.body.decode("utf-8", "replace")
+            waiting.errback(call_error(reply.code, text))
+        else:
+            waiting.callback(reply.body)
+
+    def _called(self, result: Any, id: int) -> Any:
+        self._calls.pop(id, None)
+        self.last_used = self._clock.seconds()
+        return result
+
+    # Life.
+
+    def write_hello(self) -> None:
+        """Sends the first frame of this side."""
+        self.sendString(codec.encode(self._services.hello))
+
+    def flush_early(self) -> None:
+        """Sends what has waited for the peer's hello."""
+        self._stop_greeting()
+        self.ready = True
+        self.proven = True
+        early, self._early = self._early, []
+        for frame in early:
+            self.send(frame)
+        self._watch()
+
+    def fail_all(self, executed: errors.Executed) -> None:
+        """Fails everything that is open on the link."""
+        self._stop_greeting()
+        self._heartbeat.stop()
+        self.ready = False
+        self.closed = True
+        self._early.clear()
+        open_streams, self._streams = self._streams, {}
+        calls, self._calls = self._calls, {}
+        if open_streams or calls:
+            self._services.counts["links_lost"] += 1
+        if self._on_closed is not None:
+            self._on_closed(self)
+        for stream in open_streams.values():
+            stream.lost(self._loss(executed))
+        for waiting in calls.values():
+            waiting.errback(call_error("call_failed", self._gone()))
+
+    def _watch(self) -> None:
+        if self.ready and self.busy:
+            self._heartbeat.watch()
+
+    def _ping(self, token: int) -> None:
+        self.send(codec.Ping(token))
+
+    def _silent(self) -> None:
+        self._services.counts["links_silent"] += 1
+        self.close()
+
+    def _stop_greeting(self) -> None:
+        if self._greeting is not None and self._greeting.active():
+            self._greeting.cancel()
+
+    def _loss(self, executed: errors.Executed) -> errors.RequestError:
+        return errors.LinkLostError(self._gone(), executed=executed)
+
+    def _gone(self) -> str:
+        return f"The connection to instance {self.peer} was lost; try again."
+
+
+def _error_reply(id: int, reason: failure.Failure) -> codec.Reply:
+    error = reason.value
+    if isinstance(error, errors.CicadafrontError):
+        return codec.Reply(id, error.code, error.message.encode())
+    return codec.Reply(id, "internal_error", b"The handler failed.")
+
+
+_MACHINE = _build_machine()
--- /dev/null
+++ b/src/cicadafront/peer/pool.py
@@ -0,0 +1,210 @@
+"""Links to other instances, opened on demand."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from twisted.internet import defer, error
+from twisted.python import failure
+
+from cicadafront import errors, ports, tcp
+from cicadafront.peer import exchange, link
+
+MAX_LINKS = 256
+IDLE_SECONDS = 60.0
+CONNECT_SECONDS = 1.0
+# After a failed connection attempt an instance counts as unreachable for this
+# long, so that not every request waits for the attempt.
+DOWN_SECONDS = 1.0
+
+
+class Pool:
+    """Links by instance; implements `ports.PeerCalls`.
+
+    Streams and calls to this instance itself run locally.
+    """
+
+    def __init__(
+        self,
+        services: link.Services,
+        address_of: Callable[[str], tuple[str, int] | None],
+        reactor: Any,
+        handlers: dict[str, ports.CallHandler],
+        max_links: int = MAX_LINKS,
+    ):
+        """Creates an empty pool.
+
+        Args:
+            services: What links need from this instance.
+            address_of: Returns the peer address of an instance, or None.
+            reactor: Opens TCP connections.
+            handlers: Call handlers by method, shared with accepted links.
+            max_links: Number of links above which idle ones are closed.
+        """
+        self._services = services
+        self._address_of = address_of
+        self._reactor = reactor
+        self._handlers = handlers
+        self._max_links = max_links
+        self._links: dict[str, link.Link] = {}
+        self._down: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._links)
+
+    def open(
+        self,
+        instance: str,
+        request: exchange.OpenRequest,
+        response: exchange.ResponseSink,
+    ) -> exchange.RequestSink:
+        """Starts an exchange at an instance."""
+        if instance == self._services.hello.instance:
+            return self._services.opener.open(request, response)
+        found = self._link(instance)
+        if found is None:
+            clock = self._services.clock
+            clock.callLater(
+                0, response.fail, _unknown(instance), exchange.Load()
+            )
+            return NoRequest()
+        return found.open(request, response)
+
+    def call(
+        self, instance: str, method: str, body: bytes, timeout: float
+    ) -> defer.Deferred[bytes]:
+        """Calls a method of an instance; a call to itself runs locally."""
+        if instance == self._services.hello.instance:
+            return self._call_here(method, body, timeout)
+        found = self._link(instance)
+        if found is None:
+            message = _unknown(instance).message
+            return defer.fail(link.call_error("call_failed", message))
+        return found.call(method, body, timeout)
+
+    def register(self, method: str, handler: ports.CallHandler) -> None:
+        """Serves a method; the handler gets the caller's instance id."""
+        self._handlers[method] = handler
+
+    def is_down(self, instance: str) -> bool:
+        """Whether the last attempt to reach an instance failed lately."""
+        until = self._down.get(instance, 0.0)
+        return self._services.clock.seconds() < until
+
+    def close_idle(self, idle_seconds: float = IDLE_SECONDS) -> None:
+        """Closes links without open streams that were not used lately."""
+        limit = self._services.clock.seconds() - idle_seconds
+        for found in list(self._links.values()):
+            if not found.busy and found.last_used <= limit:
+                found.close()
+
+    def close(self) -> None:
+        """Closes all links."""
+        for found in list(self._links.values()):
+            found.close()
+
+    def _call_here(
+        self, method: str, body: bytes, timeout: float
+    ) -> defer.Deferred[bytes]:
+        handler = self._handlers.get(method)
+        if handler is None:
+            return defer.fail(link.call_error("method_unknown", method))
+        here = self._services.hello.instance
+        result: defer.Deferred[Any] = defer.maybeDeferred(handler, here, body)
+        clock = self._services.clock
+        result.addTimeout(timeout, clock)
+        return result.addErrback(_local_call_failed)
+
+    def _link(self, instance: str) -> link.Link | None:
+        found = self._links.get(instance)
+        if found is not None and not found.closed:
+            found.last_used = self._services.clock.seconds()
+            return found
+        address = self._address_of(instance)
+        if address is None or self.is_down(instance):
+            return None
+        made = link.Link(self._services, instance, self._closed)
+        self._links[instance] = made
+        self._make_room()
+        failed = tcp.connect(self._reactor, address, made, CONNECT_SECONDS)
+        failed.addErrback(made.connectionLost)
+        return made
+
+    def _make_room(self) -> None:
+        surplus = len(self._links) - self._max_links
+        if surplus <= 0:
+            return
+        newest = next(reversed(self._links))
+        idle = [
+            found
+            for id, found in self._links.items()
+            if not found.busy and id != newest
+        ]
+        idle.sort(key=lambda found: found.last_used)
+        for found in idle[:surplus]:
+            found.close()
+
+    def _closed(self, gone: link.Link) -> None:
+        self._down.pop(gone.peer, None)
+        if not gone.proven:
+            now = self._services.clock.seconds()
+            self._down[gone.peer] = now + DOWN_SECONDS
+        if self._links.get(gone.peer) is gone:
+            del self._links[gone.peer]
+
+
+class NoRequest:
+    """Takes the body of an exchange that has already failed."""
+
+    def body(self, data: bytes) -> None:
+        """Ignores a piece of the body."""
+
+    def end(self) -> None:
+        """Ignores the end of the body."""
+
+    def cancel(self) -> None:
+        """Does nothing."""
+
+    def consumed(self, count: int) -> None:
+        """Does nothing."""
+
+
+@attrs.frozen
+class Relay:
+    """Opens streams here, or passes them to the instance they name.
+
+    A relayed stream names no further instance, so there is at most one extra
+    hop.
+    """
+
+    here: str
+    agent: exchange.Opener
+    open_at: Callable[..., exchange.RequestSink]
+
+    def open(
+        self, request: exchange.OpenRequest, response: exchange.ResponseSink
+    ) -> exchange.RequestSink:
+        """Starts an exchange for a peer."""
+        if request.relay_to in ("", self.here):
+            return self.agent.open(request, response)
+        direct = attrs.evolve(request, relay_to="")
+        return self.open_at(request.relay_to, direct, response)
+
+
+def _unknown(instance: str) -> errors.RequestError:
+    return errors.LinkLostError(
+        f"Instance {instance} cannot be reached from here; try again."
+    )
+
+
+def _local_call_failed(reason: failure.Failure) -> failure.Failure:
+    if reason.check(errors.CallFailedError):
+        return reason
+    cause = reason.value
+    if isinstance(cause, errors.CicadafrontError):
+        return failure.Failure(link.call_error(cause.code, cause.message))
+    if reason.check(error.TimeoutError, defer.TimeoutError):
+        text = "This instance did not answer its own call in time."
+        return failure.Failure(link.call_error("call_timeout", text))
+    text = "The handler failed."
+    return failure.Failure(link.call_error("internal_error", text))
--- /dev/null
+++ b/src/cicadafront/peer/streams.py
@@ -0,0 +1,183 @@
+"""Both ends of a stream on a link."""
+
+from typing import Protocol
+
+from cicadafront import errors, model
+from cicadafront.peer import codec, exchange, flow
+
+_NO_LOAD = exchange.Load()
+
+
+class Carrier(Protocol):
+    """The link as its streams use it."""
+
+    def send(self, frame: codec.Frame) -> None:
+        """Writes a frame, or queues it until the peer's hello."""
+
+    def forget(self, id: int) -> None:
+        """Removes a stream that has ended."""
+
+    def drop(self, frame: codec.Frame) -> None:
+        """Counts a frame that fits no stream."""
+
+
+def _broken(message: str) -> errors.RequestError:
+    return errors.LinkLostError(
+        message + "; check that both instances run compatible versions.",
+        executed=errors.Executed.UNKNOWN,
+    )
+
+
+class _Stream:
+    """What both ends have in common."""
+
+    def __init__(self, link: Carrier, id: int):
+        self._link = link
+        self._id = id
+        self._inbound = flow.Inbound()
+        self._closed = False
+
+    def body(self, data: bytes) -> None:
+        """Sends a piece of the body of this direction."""
+        if self._closed:
+            return
+        for start in range(0, len(data), exchange.CHUNK_BYTES):
+            piece = data[start : start + exchange.CHUNK_BYTES]
+            self._link.send(codec.Data(self._id, piece))
+
+    def consumed(self, count: int) -> None:
+        """Opens the window for further bytes of the other direction."""
+        owed = self._inbound.passed_on(count)
+        if owed and not self._closed:
+            self._link.send(codec.Window(self._id, owed))
+
+    def _close(self) -> None:
+        self._closed = True
+        self._link.forget(self._id)
+
+
+class Outgoing(_Stream):
+    """Stream at the side that opened it; a `RequestSink`."""
+
+    def __init__(self, link: Carrier, id: int, response: exchange.ResponseSink):
+        super().__init__(link, id)
+        self._response = response
+        self._headed = False
+
+    def end(self) -> None:
+        """Sends the end of the request body."""
+        if not self._closed:
+            self._link.send(codec.End(self._id))
+
+    def cancel(self) -> None:
+        """Gives the exchange up."""
+        if self._closed:
+            return
+        error = errors.RequestError("The caller gave up.", code="cancelled")
+        self._link.send(codec.Reset(self._id, error, _NO_LOAD))
+        self._close()
+
+    def receive(self, frame: codec.Frame) -> None:
+        """Takes a frame of this stream from the peer."""
+        match frame:
+            case codec.Head(_, head, load) if not self._headed:
+                self._headed = True
+                self._response.head(head, load)
+            case codec.Data(_, data) if self._headed:
+                self._body(data)
+            case codec.End() if self._headed:
+                self._close()
+                self._response.end()
+            case codec.Reset(_, error, load):
+                self._close()
+                self._response.fail(error, load)
+            case codec.Window(_, count):
+                self._response.consumed(count)
+            case codec.Head():
+                self._link.drop(frame)
+            case _:
+                # Skipping body bytes would complete a mutilated answer.
+                self._link.drop(frame)
+                self._abort("The peer sent an answer out of order")
+
+    def lost(self, error: errors.RequestError) -> None:
+        """Ends the stream because the link is gone."""
+        if not self._closed:
+            self._closed = True
+            self._response.fail(error, _NO_LOAD)
+
+    def _body(self, data: bytes) -> None:
+        if self._inbound.received(len(data)):
+            self._response.body(data)
+        else:
+            self._abort("The peer sent more than the flow-control window")
+
+    def _abort(self, message: str) -> None:
+        self.cancel()
+        self._response.fail(_broken(message), _NO_LOAD)
+
+
+class Incoming(_Stream):
+    """Stream at the side that runs the request; a `ResponseSink`."""
+
+    def __init__(self, link: Carrier, id: int):
+        super().__init__(link, id)
+        self._request: exchange.RequestSink | None = None
+        self._ended = False
+
+    def attach(self, request: exchange.RequestSink) -> None:
+        """Sets the exchange that takes the request body."""
+        self._request = request
+
+    def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
+        """Sends the head of the answer."""
+        if not self._closed:
+            self._link.send(codec.Head(self._id, head, load))
+
+    def end(self) -> None:
+        """Sends the end of the answer."""
+        if not self._closed:
+            self._link.send(codec.End(self._id))
+            self._close()
+
+    def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
+        """Ends the stream with an error."""
+        if not self._closed:
+            self._link.send(codec.Reset(self._id, error, load))
+            self._close()
+
+    def receive(self, frame: codec.Frame) -> None:
+        """Takes a frame of this stream from the peer."""
+        request = self._request
+        if request is None:
+            self._link.drop(frame)
+            return
+        match frame:
+            case codec.Data(_, data) if not self._ended:
+                self._body(request, data)
+            case codec.End() if not self._ended:
+                self._ended = True
+                request.end()
+            case codec.Window(_, count):
+                request.consumed(count)
+            case codec.Reset():
+                self._close()
+                request.cancel()
+            case _:
+                self._link.drop(frame)
+
+    def lost(self, error: errors.RequestError) -> None:
+        """Cancels the exchange because the link is gone."""
+        if not self._closed:
+            self._closed = True
+            if self._request is not None:
+                self._request.cancel()
+
+    def _body(self, request: exchange.RequestSink, data: bytes) -> None:
+        if self._inbound.received(len(data)):
+            request.body(data)
+            return
+        self.fail(
+            _broken("The peer sent more than the flow-control window"), _NO_LOAD
+        )
+        request.cancel()
--- /dev/null
+++ b/tests/daemon/test_path.py
@@ -0,0 +1,95 @@
+"""The whole path over real sockets, with daemons in their own processes."""
+
+import http.client
+import json
+import unittest
+
+from tests.support import fleet
+
+BODY_MB = 200
+MEMORY_LIMIT_MB = 128
+PIECE = b"cicadafront-data" * 4096
+
+
+def _swallow(connection) -> None:
+    """Counts a request body and answers with its size."""
+    _, fields, rest = fleet.read_head(connection)
+    expected = int(fields["content-length"])
+    got = len(rest)
+    while got < expected:
+        got += len(connection.recv(1 << 20))
+    text = str(got).encode()
+    connection.sendall(
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text)
+    )
+    connection.sendall(text)
+
+
+def _pour(connection) -> None:
+    """Answers with a large body."""
+    fleet.read_head(connection)
+    size = BODY_MB << 20
+    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    for _ in range(size // len(PIECE)):
+        connection.sendall(PIECE)
+
+
+class PathTest(unittest.TestCase):
+    """Guards against losing or changing requests between processes."""
+
+    def setUp(self):
+        self.entry = fleet.Daemon("a")
+        self.addCleanup(self.entry.kill)
+        self.agent = fleet.Daemon("b")
+        self.addCleanup(self.agent.kill)
+
+    def _start(self, script, **fields):
+        target = fleet.Target(script)
+        self.addCleanup(target.close)
+        routes = [fleet.route(**fields)]
+        fleet.fleet_of([self.entry, self.agent], {"t": target}, routes)
+        caller = http.client.HTTPConnection(
+            fleet.HOST, self.entry.edge, timeout=fleet.CALL_SECONDS
+        )
+        self.addCleanup(caller.close)
+        return caller
+
+    def _check_memory(self):
+        for daemon in (self.entry, self.agent):
+            self.assertLess(daemon.peak_mb(), MEMORY_LIMIT_MB)
+
+    def test_request_and_answer(self):
+        caller = self._start(fleet.echo, open=False)
+        headers = {"Authorization": "Bearer cf_k1_secret", "X-Own": "kept"}
+        for number in range(3):
+            caller.request("POST", f"/a?n={number}", b"hello", headers)
+            answer = caller.getresponse()
+            seen = json.loads(answer.read())
+            self.assertEqual(answer.status, 200)
+            self.assertEqual(seen["first"], f"POST /a?n={number} HTTP/1.1")
+            self.assertEqual(seen["body"], "hello")
+            self.assertEqual(seen["fields"]["x-own"], "kept")
+            self.assertNotIn("authorization", seen["fields"])
+            self.assertLessEqual(int(seen["fields"]["x-deadline-ms"]), 30000)
+
+    def test_large_upload_in_bounded_memory(self):
+        caller = self._start(_swallow)
+        size = BODY_MB << 20
+        pieces = (PIECE for _ in range(size // len(PIECE)))
+        caller.request("POST", "/u", pieces, {"Content-Length": str(size)})
+        self.assertEqual(caller.getresponse().read(), str(size).encode())
+        self._check_memory()
+
+    def test_large_download_in_bounded_memory(self):
+        caller = self._start(_pour)
+        caller.request("GET", "/d")
+        answer = caller.getresponse()
+        got = 0
+        while piece := answer.read(1 << 20):
+            got += len(piece)
+        self.assertEqual(got, BODY_MB << 20)
+        self._check_memory()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that several test packages share."""
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,190 @@
+"""Daemons in processes of their own, and scripted targets, for tests."""
+
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from collections.abc import Callable
+from typing import Any
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+HOST = "127.0.0.1"
+# Longer than any limit that a daemon applies in these tests.
+CALL_SECONDS = 60.0
+
+
+class Daemon:
+    """One daemon process."""
+
+    def __init__(self, instance: str, **options: Any):
+        arguments = json.dumps({"instance": instance, **options})
+        environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+        self.instance = instance
+        self.errors = open(os.devnull, "w")  # noqa: SIM115
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "tests.support.process", arguments],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            cwd=ROOT,
+            env=environment,
+            text=True,
+        )
+        self.log: list[str] = []
+        self._reader = threading.Thread(target=self._read_log, daemon=True)
+        self._reader.start()
+        line = self.process.stdout.readline()
+        if not line:
+            raise AssertionError("".join(self.log))
+        ports = json.loads(line)
+        self.edge = ports["edge"]
+        self.peer = ports["peer"]
+
+    def _read_log(self) -> None:
+        for line in self.process.stderr:
+            self.log.append(line)
+
+    def command(self, **command: Any) -> dict[str, Any]:
+        """Runs a command in the process and returns its answer."""
+        self.process.stdin.write(json.dumps(command) + "\n")
+        self.process.stdin.flush()
+        return json.loads(self.process.stdout.readline())
+
+    def counts(self) -> dict[str, int]:
+        """Returns the counters of the daemon."""
+        return self.command(do="counts")["counts"]
+
+    def peak_mb(self) -> float:
+        """Returns the largest resident size so far."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
+        return int(line.split()[1]) / 1024
+
+    def terminate(self) -> None:
+        """Starts a planned stop."""
+        self.process.send_signal(signal.SIGTERM)
+
+    def wait(self, timeout: float = CALL_SECONDS) -> int:
+        """Waits for the end and returns the exit status."""
+        status = self.process.wait(timeout)
+        self._reader.join(5)
+        return status
+
+    def kill(self) -> None:
+        """Ends the process at once."""
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        for stream in (self.process.stdin, self.process.stdout):
+            with contextlib.suppress(OSError):
+                stream.close()
+        self._reader.join(5)
+        self.process.stderr.close()
+        self.errors.close()
+
+
+class Target:
+    """A target on a real socket; a script runs each of its connections."""
+
+    def __init__(self, script: Callable[[socket.socket], None]):
+        self._script = script
+        self._socket = socket.create_server((HOST, 0), backlog=512)
+        self.port = self._socket.getsockname()[1]
+        self.connections = 0
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(
+                target=self._run, args=(connection,), daemon=True
+            ).start()
+
+    def _run(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._script(connection)
+
+    def close(self) -> None:
+        """Accepts no further connections."""
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RDWR)
+        self._socket.close()
+
+
+def read_head(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
+    """Reads a head; returns first line, fields and what follows."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return "", {}, data
+        data += piece
+    head, _, rest = data.partition(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    pairs = (line.split(":", 1) for line in lines)
+    fields = {name.strip().lower(): value.strip() for name, value in pairs}
+    return first, fields, rest
+
+
+def echo(connection: socket.socket) -> None:
+    """Answers each request with its first line, fields and body as JSON."""
+    while True:
+        first, fields, body = read_head(connection)
+        if not first:
+            return
+        length = int(fields.get("content-length", 0))
+        while len(body) < length:
+            body += connection.recv(65536)
+        answer = {"first": first, "fields": fields, "body": body.decode()}
+        text = json.dumps(answer).encode()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n"
+        connection.sendall(head.encode() + text)
+
+
+def fleet_of(
+    daemons: list[Daemon],
+    targets: dict[str, Target],
+    routes: list[dict[str, Any]],
+    slots: int = 3,
+    beside: dict[str, str] | None = None,
+) -> None:
+    """Tells all daemons about each other, the targets and the routes.
+
+    Args:
+        daemons: All daemons.
+        targets: Targets by id; all belong to the service `s`.
+        routes: Fields of the routes.
+        slots: Slots of each target.
+        beside: Instance by target id; the last daemon without an entry.
+    """
+    places = beside or {}
+    instances = [{"id": d.instance, "peer": d.peer} for d in daemons]
+    entries = [
+        {
+            "id": id,
+            "service": "s",
+            "instance": places.get(id, daemons[-1].instance),
+            "slots": slots,
+            "port": target.port,
+        }
+        for id, target in targets.items()
+    ]
+    for daemon in daemons:
+        daemon.command(
+            do="configure", instances=instances, targets=entries, routes=routes
+        )
+
+
+def route(id: str = "r", prefix: str = "/", **fields: Any) -> dict[str, Any]:
+    """Returns the fields of an open route to the service `s`."""
+    return {"id": id, "prefix": prefix, "service": "s", "open": True, **fields}
--- /dev/null
+++ b/tests/support/process.py
@@ -0,0 +1,89 @@
+"""Runs one daemon for tests that need processes of their own.
+
+The options come as JSON on the command line. Each line on standard input is a
+JSON command: `configure` sets the fleet, `counts` prints the counters.
+"""
+
+import json
+import sys
+from typing import Any
+
+from twisted.internet import reactor, stdio
+from twisted.protocols import basic
+
+from cicadafront import model, ports
+from cicadafront.agent import targets
+from cicadafront.config import model as config_model
+from cicadafront.daemon import local, main, options, root
+
+HOST = "127.0.0.1"
+
+
+class Control(basic.LineOnlyReceiver):
+    """Takes commands from the test."""
+
+    delimiter = b"\n"
+    MAX_LENGTH = 1 << 20
+
+    def __init__(self, here: str):
+        self._here = here
+        self.directory = local.StaticDirectory()
+        self.configuration: config_model.Configuration | None = None
+        self.daemon: Any = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Prints the ports once the listeners are open."""
+        ready = {"edge": self.daemon.edge_port, "peer": self.daemon.peer_port}
+        print(json.dumps(ready), flush=True)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Runs one command."""
+        command = json.loads(line)
+        if command["do"] == "configure":
+            self._configure(command)
+        answer = {"counts": dict(self.daemon.counts)}
+        print(json.dumps(answer), flush=True)
+
+    def _configure(self, command: dict[str, Any]) -> None:
+        for item in command["instances"]:
+            info = ports.InstanceInfo(item["id"], 1, "dc", (HOST, item["peer"]))
+            self.directory.known_instances[info.id] = info
+        for item in command["targets"]:
+            target = model.Target(
+                item["id"], item["service"], item["instance"], item["slots"]
+            )
+            self.directory.known_targets[target.id] = target
+            if target.instance == self._here:
+                self.directory.beside[target.id] = targets.LocalTarget(
+                    target, HOST, item["port"]
+                )
+        routes = [config_model.Route(**item) for item in command["routes"]]
+        digest = config_model.secret_digest("secret")
+        self.configuration = config_model.Configuration(
+            accounts={"amani": config_model.ClientAccount("amani", 10, 20)},
+            keys={"k1": config_model.Key("k1", "amani", digest)},
+            routes={route.id: route for route in routes},
+        )
+
+
+def run() -> int:
+    """Runs the daemon until it is told to stop."""
+    given = json.loads(sys.argv[1])
+    settings = options.DaemonOptions(
+        data_centre="dc",
+        edge=(HOST, given.pop("edge", 0)),
+        peer=(HOST, given.pop("peer", 0)),
+        **given,
+    )
+    control = Control(settings.instance)
+    fleet = root.Fleet(
+        control.directory, control.directory, lambda: control.configuration
+    )
+    control.daemon = root.Daemon(reactor, settings, fleet)
+    # Runs after the listeners are open, which `main.run` arranges first.
+    reactor.callLater(0, lambda: stdio.StandardIO(control))
+    return main.run(control.daemon)
+
+
+if __name__ == "__main__":
+    sys.exit(run())
