Test the HTTP edge and close the gaps the tests found

Cause: the edge's framing rules had no tests; a duplicate head of an answer was dropped without being counted, and a fault in one stream closed its link.

Change: tables for refused heads, forwarded fields, framing of answers, time limits and flow control, and a fuzz test over the real forwarding logic. A stream that meets a fault in this program is ended on both sides and logged.

Conclusion: arbitrary bytes lead to an error answer or a closed connection.

--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -65,7 +65,7 @@
 
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         """Takes the head of the answer."""
-        if self._headed or self._stale():
+        if self._stale(twice=self._headed):
             return
         self._headed = True
         self._parent.attempt_head(self, head, load)
@@ -93,7 +93,8 @@
             self._taken += count
             self._parent.attempt_took(self, self._taken)
 
-    def _stale(self) -> bool:
-        if self.done:
+    def _stale(self, twice: bool = False) -> bool:
+        stale = self.done or twice
+        if stale:
             self._counts["answers_dropped"] += 1
-        return self.done
+        return stale
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import eliot
 from twisted.internet import defer
 from twisted.python import failure
 
@@ -84,7 +85,8 @@
             self._admitted(None)
             return
         admitted = self._site.admission.admit(self._order.account)
-        admitted.addCallbacks(self._admitted, self._refused)
+        admitted.addCallback(self._admitted)
+        admitted.addErrback(self._refused)
 
     def _admitted(self, _: object) -> None:
         if self._phase is _Phase.ADMITTING:
@@ -122,7 +124,8 @@
         begun = self._site.records.begin(
             account, self._order.key, digest, remaining
         )
-        begun.addCallbacks(self._begun, self._refused)
+        begun.addCallback(self._begun)
+        begun.addErrback(self._refused)
 
     def _begun(self, result: ports.Start | ports.Replay) -> None:
         if self._phase is not _Phase.BEGINNING:
@@ -332,6 +335,12 @@
         code = error.code
     elif reason.check(defer.TimeoutError):
         code = "call_timeout"
+    else:
+        eliot.log_message(
+            message_type="edge",
+            message="edge: a part failed while a request was prepared.",
+            reason=reason.getTraceback(),
+        )
     return errors.RequestError(
         "A part of this instance failed; try again.",
         retry_after=1.0,
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -67,17 +67,18 @@
         self.done = False
         self.headed = False
 
-    def _stale(self) -> bool:
-        if self.done:
+    def _stale(self, twice: bool = False) -> bool:
+        stale = self.done or twice
+        if stale:
             self._site.counts["answers_dropped"] += 1
-        return self.done
+        return stale
 
     def wants_body(self) -> None:
         if not self.done:
             self._connection.wants_body()
 
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
-        if self.headed or self._stale():
+        if self._stale(twice=self.headed):
             return
         self.headed = True
         self._connection.answer_head(head)
--- /dev/null
+++ b/src/cicadafront/peer/failures.py
@@ -0,0 +1,42 @@
+"""Errors of links, streams and calls."""
+
+import traceback
+
+import eliot
+from twisted.python import failure
+
+from cicadafront import errors
+from cicadafront.peer import codec
+
+
+def call_error(code: str, message: str) -> errors.CallFailedError:
+    """Returns a failed call with the code of its cause."""
+    error = errors.CallFailedError(message)
+    error.code = code
+    return error
+
+
+def internal() -> errors.RequestError:
+    """Returns the error of a stream that met a fault in this program."""
+    return errors.RequestError(
+        "The exchange failed inside an instance; report its log.",
+        executed=errors.Executed.UNKNOWN,
+        code=errors.CicadafrontError.code,
+    )
+
+
+def log(error: Exception) -> None:
+    """Logs a fault in this program that ended one stream."""
+    eliot.log_message(
+        message_type="peer",
+        message="peer: a stream failed on an unexpected error.",
+        reason="".join(traceback.format_exception(error)),
+    )
+
+
+def error_reply(id: int, reason: failure.Failure) -> codec.Reply:
+    """Returns the reply to a call whose handler failed."""
+    error = reason.value
+    if isinstance(error, errors.CicadafrontError):
+        return codec.Reply(id, error.code, error.message.encode())
+    return codec.Reply(id, "internal_error", b"The handler failed.")
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -17,7 +17,7 @@
 from twisted.python import failure
 
 from cicadafront import errors, ports
-from cicadafront.peer import codec, exchange, heartbeat, streams
+from cicadafront.peer import codec, exchange, failures, heartbeat, streams
 
 PROTOCOL_VERSION = 1
 # A configuration part or manifest (below 1 MB) travels in one frame.
@@ -27,13 +27,6 @@
 Counts = collections.Counter[str]
 
 
-def call_error(code: str, message: str) -> errors.CallFailedError:
-    """Returns a failed call with the code of its cause."""
-    error = errors.CallFailedError(message)
-    error.code = code
-    return error
-
-
 @attrs.frozen
 class Services:
     """What a link needs from its instance.
@@ -166,7 +159,7 @@
     ) -> defer.Deferred[bytes]:
         """Calls a method of the peer; `timeout` is in seconds."""
         if self.closed:
-            return defer.fail(call_error("call_failed", self._gone()))
+            return defer.fail(failures.call_error("call_failed", self._gone()))
         id = next(self._ids)
         result: defer.Deferred[bytes] = defer.Deferred()
         self._calls[id] = result
@@ -174,7 +167,7 @@
             timeout,
             self._clock,
             lambda *_: failure.Failure(
-                call_error("call_timeout", f"{self.peer} did not answer.")
+                failures.call_error("call_timeout", f"{self.peer} did not answer.")
             ),
         )
         result.addBoth(self._called, id)
@@ -264,7 +257,17 @@
                 if stream is None:
                     self.drop(frame)
                 else:
-                    stream.receive(frame)
+                    self._receive_for(stream, frame)
+
+    def _receive_for(
+        self, stream: streams.Outgoing | streams.Incoming, frame: codec.Frame
+    ) -> None:
+        try:
+            stream.receive(frame)
+        except Exception as error:
+            # Other streams must outlive the failure of one.
+            failures.log(error)
+            stream.abort(failures.internal())
 
     def _receive_hello(self, hello: codec.Hello) -> None:
         expected = self.peer in ("", hello.instance)
@@ -283,7 +286,12 @@
         stream = streams.Incoming(self, id)
         self._streams[id] = stream
         self._watch()
-        stream.attach(self._services.opener.open(request, stream))
+        try:
+            stream.attach(self._services.opener.open(request, stream))
+        except Exception as error:
+            # Other streams must outlive the failure of one.
+            failures.log(error)
+            stream.fail(failures.internal(), exchange.Load())
 
     def _receive_call(self, call: codec.Call) -> None:
         handler = self._services.handlers.get(call.method)
@@ -294,7 +302,7 @@
         result = defer.maybeDeferred(handler, self.peer, call.body)
         result.addCallbacks(
             lambda body: self.send(codec.Reply(call.id, "", body)),
-            lambda reason: self.send(_error_reply(call.id, reason)),
+            lambda reason: self.send(failures.error_reply(call.id, reason)),
         )
 
     def _receive_reply(self, reply: codec.Reply) -> None:
@@ -303,7 +311,7 @@
             self.drop(reply)
         elif reply.code:
             text = reply.body.decode("utf-8", "replace")
-            waiting.errback(call_error(reply.code, text))
+            waiting.errback(failures.call_error(reply.code, text))
         else:
             waiting.callback(reply.body)
 
@@ -344,7 +352,7 @@
         for stream in open_streams.values():
             stream.lost(self._loss(executed))
         for waiting in calls.values():
-            waiting.errback(call_error("call_failed", self._gone()))
+            waiting.errback(failures.call_error("call_failed", self._gone()))
 
     def _watch(self) -> None:
         if self.ready and self.busy:
@@ -368,11 +376,4 @@
         return f"The connection to instance {self.peer} was lost; try again."
 
 
-def _error_reply(id: int, reason: failure.Failure) -> codec.Reply:
-    error = reason.value
-    if isinstance(error, errors.CicadafrontError):
-        return codec.Reply(id, error.code, error.message.encode())
-    return codec.Reply(id, "internal_error", b"The handler failed.")
-
-
 _MACHINE = _build_machine()
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -8,7 +8,7 @@
 from twisted.python import failure
 
 from cicadafront import errors, ports, tcp
-from cicadafront.peer import exchange, link
+from cicadafront.peer import exchange, failures, link
 
 MAX_LINKS = 256
 IDLE_SECONDS = 60.0
@@ -79,7 +79,7 @@
         found = self._link(instance)
         if found is None:
             message = _unknown(instance).message
-            return defer.fail(link.call_error("call_failed", message))
+            return defer.fail(failures.call_error("call_failed", message))
         return found.call(method, body, timeout)
 
     def register(self, method: str, handler: ports.CallHandler) -> None:
@@ -108,7 +108,7 @@
     ) -> defer.Deferred[bytes]:
         handler = self._handlers.get(method)
         if handler is None:
-            return defer.fail(link.call_error("method_unknown", method))
+            return defer.fail(failures.call_error("method_unknown", method))
         here = self._services.hello.instance
         result: defer.Deferred[Any] = defer.maybeDeferred(handler, here, body)
         clock = self._services.clock
@@ -202,9 +202,9 @@
         return reason
     cause = reason.value
     if isinstance(cause, errors.CicadafrontError):
-        return failure.Failure(link.call_error(cause.code, cause.message))
+        return failure.Failure(failures.call_error(cause.code, cause.message))
     if reason.check(error.TimeoutError, defer.TimeoutError):
         text = "This instance did not answer its own call in time."
-        return failure.Failure(link.call_error("call_timeout", text))
+        return failure.Failure(failures.call_error("call_timeout", text))
     text = "The handler failed."
-    return failure.Failure(link.call_error("internal_error", text))
+    return failure.Failure(failures.call_error("internal_error", text))
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -21,9 +21,9 @@
         """Counts a frame that fits no stream."""
 
 
-def _broken(message: str) -> errors.RequestError:
+def _broken(fault: str) -> errors.RequestError:
     return errors.LinkLostError(
-        message + "; check that both instances run compatible versions.",
+        f"The peer {fault}; check that both run compatible versions.",
         executed=errors.Executed.UNKNOWN,
     )
 
@@ -98,23 +98,25 @@
             case _:
                 # Skipping body bytes would complete a mutilated answer.
                 self._link.drop(frame)
-                self._abort("The peer sent an answer out of order")
+                self.abort(_broken("sent an answer out of order"))
 
     def lost(self, error: errors.RequestError) -> None:
         """Ends the stream because the link is gone."""
         if not self._closed:
-            self._closed = True
+            self._close()
             self._response.fail(error, _NO_LOAD)
 
     def _body(self, data: bytes) -> None:
         if self._inbound.received(len(data)):
             self._response.body(data)
         else:
-            self._abort("The peer sent more than the flow-control window")
+            self.abort(_broken("sent more than the flow-control window"))
 
-    def _abort(self, message: str) -> None:
-        self.cancel()
-        self._response.fail(_broken(message), _NO_LOAD)
+    def abort(self, error: errors.RequestError) -> None:
+        """Ends the stream on both sides because of a fault."""
+        if not self._closed:
+            self.cancel()
+            self._response.fail(error, _NO_LOAD)
 
 
 class Incoming(_Stream):
@@ -169,7 +171,7 @@
     def lost(self, error: errors.RequestError) -> None:
         """Cancels the exchange because the link is gone."""
         if not self._closed:
-            self._closed = True
+            self._close()
             if self._request is not None:
                 self._request.cancel()
 
@@ -177,7 +179,10 @@
         if self._inbound.received(len(data)):
             request.body(data)
             return
-        self.fail(
-            _broken("The peer sent more than the flow-control window"), _NO_LOAD
-        )
-        request.cancel()
+        self.abort(_broken("sent more than the flow-control window"))
+
+    def abort(self, error: errors.RequestError) -> None:
+        """Ends the stream on both sides because of a fault."""
+        self.fail(error, _NO_LOAD)
+        if self._request is not None:
+            self._request.cancel()
--- /dev/null
+++ b/tests/edge/test_server.py
@@ -0,0 +1,248 @@
+"""Tests of HTTP/1.1 towards callers."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+from parameterized import parameterized
+from twisted.internet import error
+from twisted.python import failure
+
+from cicadafront import errors, model
+from cicadafront.edge import server
+from cicadafront.peer import exchange
+from tests.support.edge import GET, Edge, problem
+
+CLOSE_SECONDS = (
+    server.HEAD_SECONDS
+    + server.IDLE_SECONDS
+    + server.FLUSH_SECONDS
+    + server.LINGER_SECONDS
+)
+
+
+class AnswerTest(unittest.TestCase):
+    """Guards against answers that a caller reads with another length."""
+
+    @parameterized.expand(
+        [
+            ("length", b"GET", 200, ((b"Content-Length", b"2"),), b"ok", b"ok"),
+            ("chunked", b"GET", 200, (), b"ok", b"2\r\nok\r\n0\r\n\r\n"),
+            ("head", b"HEAD", 200, ((b"Content-Length", b"9"),), b"", b""),
+            ("no content", b"GET", 204, (), b"", b""),
+            ("unchanged", b"GET", 304, ((b"ETag", b"x"),), b"", b""),
+            ("redirect", b"GET", 302, ((b"Content-Length", b"0"),), b"", b""),
+        ]
+    )
+    def test_framing(self, _name, method, status, fields, body, expected):
+        edge = Edge()
+        edge.receive(method + b" /open HTTP/1.1\r\nHost: h\r\n\r\n")
+        head, _, rest = edge.answer(status, fields, body).partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 %d " % status))
+        self.assertEqual(rest, expected)
+        for name, value in fields:
+            self.assertIn(name + b": " + value, head)
+        self.assertFalse(edge.transport.closed)
+
+    def test_old_protocol_ends_with_the_connection(self):
+        edge = Edge()
+        edge.receive(b"GET /open HTTP/1.0\r\n\r\n", b"\r\n")
+        data = edge.answer(body=b"ok")
+        self.assertTrue(data.endswith(b"\r\n\r\nok"))
+        self.assertTrue(edge.transport.half_closed)
+
+    def test_pipelined_requests_in_order(self):
+        edge = Edge()
+        edge.receive(GET + GET.replace(b"/x", b"/y"))
+        self.assertEqual(len(edge.opener.opened), 1)
+        self.assertIn(b"first", edge.answer(body=b"first"))
+        self.assertEqual(edge.request.head.path, "/open/y")
+        self.assertIn(b"second", edge.answer(body=b"second"))
+
+    def test_pipelined_errors_need_no_stack(self):
+        edge = Edge()
+        count = 3000
+        data = edge.receive(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\n" * count)
+        self.assertEqual(data.count(b"HTTP/1.1 404"), count)
+
+    def test_reading_ahead_is_bounded(self):
+        edge = Edge()
+        edge.receive(GET, *[GET * 200] * 20)
+        self.assertEqual(edge.transport.producerState, "paused")
+        for _ in range(1 + 200 * 20):
+            edge.answer(body=b"x")
+        self.assertEqual(edge.transport.producerState, "producing")
+
+    @parameterized.expand(
+        [("length", ((b"Content-Length", b"9"),)), ("chunked", ())]
+    )
+    def test_short_answer_breaks_the_connection(self, _name, fields):
+        edge = Edge()
+        edge.receive(GET)
+        response = edge.opener.opened[-1][2]
+        response.head(model.ResponseHead(200, fields), exchange.Load())
+        response.body(b"part")
+        response.fail(errors.TargetFailedError("Short."), exchange.Load())
+        self.assertTrue(edge.transport.aborted)
+        self.assertNotIn(b"\r\n0\r\n", edge.transport.value())
+
+    def test_answer_beyond_its_length(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.answer(fields=((b"Content-Length", b"1"),), body=b"too long")
+        self.assertTrue(edge.transport.aborted)
+
+    def test_late_answer_is_dropped_and_counted(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.answer(body=b"once")
+        edge.receive(GET)
+        self.assertEqual(edge.answer(body=b"again", index=0), b"")
+        forwarder = edge.site.handler
+        self.assertEqual(forwarder._site.counts["answers_dropped"], 3)
+
+    def test_continue_only_after_admission(self):
+        expecting = (
+            b"POST /keyed HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n%s\r\n"
+        )
+        edge = Edge()
+        got, head, _ = problem(edge.receive(expecting % b""))
+        self.assertEqual(got, 401)
+        self.assertIn(b"connection: close", head)
+        self.assertTrue(edge.transport.half_closed)
+        edge = Edge()
+        key = b"Authorization: Bearer cf_k1_secret\r\n"
+        data = edge.receive(expecting % key)
+        self.assertTrue(data.startswith(b"HTTP/1.1 100 "))
+        edge.receive(b"ok")
+        self.assertEqual(edge.sink.data, b"ok")
+        self.assertNotIn(b"Expect", dict(edge.request.head.headers))
+
+
+class TimeTest(unittest.TestCase):
+    """Guards against connections that are held open for nothing."""
+
+    @parameterized.expand(
+        [
+            ("silent", [], server.HEAD_SECONDS, b""),
+            ("slow head", [b"GET /"], server.HEAD_SECONDS, b"HTTP/1.1 408"),
+        ]
+    )
+    def test_head_limit(self, _name, pieces, seconds, expected):
+        edge = Edge()
+        edge.receive(*pieces)
+        edge.clock.advance(seconds - 0.1)
+        self.assertFalse(edge.transport.closed)
+        edge.clock.advance(0.2)
+        self.assertTrue(edge.transport.value().startswith(expected))
+        self.assertTrue(edge.transport.half_closed)
+
+    def test_slow_second_head(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.answer()
+        edge.clock.advance(server.IDLE_SECONDS - 1)
+        edge.receive(b"GET")
+        edge.clock.advance(server.HEAD_SECONDS + 0.1)
+        self.assertIn(b" 408 ", edge.transport.value())
+
+    def test_idle_limit(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.answer()
+        edge.clock.advance(server.IDLE_SECONDS + 0.1)
+        self.assertTrue(edge.transport.half_closed)
+        edge.connection.writeConnectionLost()
+        edge.clock.advance(server.LINGER_SECONDS + 0.1)
+        self.assertTrue(edge.transport.aborted)
+
+    def test_caller_that_leaves_cancels(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.connection.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertTrue(edge.sink.cancelled)
+
+    def test_draining_closes_after_the_answer(self):
+        edge = Edge()
+        edge.receive(GET)
+        edge.site.drain()
+        edge.site.close_idle()
+        self.assertFalse(edge.transport.closed)
+        self.assertIn(b"Connection: close", edge.answer(body=b"x"))
+        self.assertTrue(edge.transport.half_closed)
+
+
+class FlowTest(unittest.TestCase):
+    """Guards against bodies that gather in memory."""
+
+    def test_upload_pauses_the_caller(self):
+        edge = Edge()
+        size = exchange.WINDOW_BYTES * 4
+        head = b"POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+        edge.receive(head % size)
+        piece = b"x" * exchange.CHUNK_BYTES
+        sent = 0
+        while edge.transport.producerState == "producing":
+            edge.receive(piece)
+            sent += len(piece)
+        self.assertLessEqual(sent, exchange.WINDOW_BYTES)
+        edge.opener.opened[-1][2].consumed(len(piece))
+        self.assertEqual(edge.transport.producerState, "producing")
+
+    def test_download_waits_for_the_caller(self):
+        edge = Edge()
+        edge.receive(GET)
+        response = edge.opener.opened[-1][2]
+        response.head(model.ResponseHead(200, ()), exchange.Load())
+        response.body(b"x" * 10)
+        edge.transport.producer.pauseProducing()
+        response.body(b"x" * 20)
+        self.assertEqual(edge.sink.granted, 10)
+        edge.transport.producer.resumeProducing()
+        self.assertEqual(edge.sink.granted, 30)
+
+
+class FuzzTest(unittest.TestCase):
+    """Guards against tracebacks and hangs on arbitrary bytes."""
+
+    _pieces = strategies.one_of(
+        strategies.binary(max_size=200),
+        strategies.sampled_from(
+            [
+                GET,
+                GET[:-2],
+                b"POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n",
+                b"POST /open HTTP/1.1\r\nHost: h\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                b"4\r\nabcd\r\n",
+                b"0\r\n\r\n",
+                b"ffffffffffffffffffff\r\n",
+                b"\r\n",
+                b"Connection: close\r\n",
+                b"GET /open HTTP/1.0\r\n\r\n",
+                b"Expect: 100-continue\r\n\r\n",
+            ]
+        ),
+    )
+
+    @hypothesis.settings(
+        max_examples=1500, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(strategies.lists(_pieces, max_size=12))
+    def test_arbitrary_bytes(self, pieces):
+        edge = Edge()
+        for piece in pieces:
+            edge.receive(piece)
+            for _, _, response, sink in edge.opener.opened:
+                if sink.ended and not getattr(response, "done", True):
+                    response.head(model.ResponseHead(200, ()), exchange.Load())
+                    response.end()
+        for _ in range(4):
+            edge.clock.advance(CLOSE_SECONDS)
+        self.assertTrue(edge.transport.closed)
+        self.assertEqual(edge.site.handler.running, set())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/support/edge.py
@@ -0,0 +1,60 @@
+"""A caller's connection to the edge, in memory."""
+
+import json
+
+from twisted.internet import task
+
+from cicadafront import model
+from cicadafront.edge import server
+from cicadafront.peer import exchange
+from tests.support import memory
+
+GET = b"GET /open/x HTTP/1.1\r\nHost: h\r\n\r\n"
+KEYED = (
+    b"GET /keyed HTTP/1.1\r\nHost: h\r\n"
+    b"Authorization: Bearer cf_k1_secret\r\n\r\n"
+)
+
+
+class Edge:
+    """A caller's connection to the edge with the real forwarding logic."""
+
+    def __init__(self, **fields):
+        self.clock = task.Clock()
+        self.opener = memory.Opener()
+        forwarder = memory.forwarder(self.clock, self.opener, **fields)
+        self.site = server.Site(forwarder, self.clock)
+        self.connection = server.Connection(self.site)
+        self.transport = memory.Transport()
+        self.connection.makeConnection(self.transport)
+
+    def receive(self, *pieces):
+        """Takes bytes of the caller and returns what is written."""
+        for piece in pieces:
+            self.connection.dataReceived(piece)
+        return self.transport.take()
+
+    def answer(self, status=200, fields=(), body=b"", index=-1):
+        """Answers the last request and returns what is written."""
+        _, _, response, _ = self.opener.opened[index]
+        response.head(model.ResponseHead(status, fields), exchange.Load())
+        if body:
+            response.body(body)
+        response.end()
+        return self.transport.take()
+
+    @property
+    def request(self):
+        """The last request that went to a target."""
+        return self.opener.opened[-1][1]
+
+    @property
+    def sink(self):
+        """Takes the body of the last request."""
+        return self.opener.opened[-1][3]
+
+
+def problem(data):
+    """Returns status, lower-case head and fields of an error answer."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    return int(head.split()[1]), head.lower(), json.loads(body)
--- /dev/null
+++ b/tests/support/memory.py
@@ -0,0 +1,235 @@
+"""In-memory transports and exchange ends for tests."""
+
+from typing import Any
+
+from twisted.internet import defer, testing
+
+from cicadafront import errors, model, ports
+from cicadafront.config import model as config_model
+from cicadafront.daemon import local
+from cicadafront.edge import forward, parts, policies
+from cicadafront.peer import exchange
+
+
+class Transport(testing.StringTransport):
+    """A transport that notes how it was closed."""
+
+    half_closed = False
+    aborted = False
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Notes the end of writing."""
+        self.half_closed = True
+
+    def abortConnection(self) -> None:  # noqa: N802
+        """Notes the break of the connection."""
+        self.aborted = True
+        super().abortConnection()
+
+    @property
+    def closed(self) -> bool:
+        """Whether this side has ended the connection in any way."""
+        return self.half_closed or self.aborted or self.disconnecting
+
+    def take(self) -> bytes:
+        """Returns and forgets what was written."""
+        data = self.value()
+        self.clear()
+        return data
+
+
+class Response:
+    """A response sink and caller that notes what it gets."""
+
+    def __init__(self) -> None:
+        self.events: list[Any] = []
+        self.taken = 0
+        self.asked = False
+        self.error: errors.RequestError | None = None
+
+    def wants_body(self) -> None:
+        """Notes the wish for the body."""
+        self.asked = True
+
+    def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
+        """Notes the status."""
+        self.events.append(head.status)
+
+    def body(self, data: bytes) -> None:
+        """Notes a piece."""
+        self.events.append(data)
+
+    def end(self) -> None:
+        """Notes the end."""
+        self.events.append("end")
+
+    def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
+        """Notes the error."""
+        self.error = error
+        self.events.append((error.code, error.executed.value))
+
+    def consumed(self, count: int) -> None:
+        """Counts bytes passed on."""
+        self.taken += count
+
+
+class Request:
+    """A request sink that notes what it gets."""
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.ended = False
+        self.cancelled = False
+        self.granted = 0
+
+    def body(self, data: bytes) -> None:
+        """Notes a piece."""
+        self.data += data
+
+    def end(self) -> None:
+        """Notes the end."""
+        self.ended = True
+
+    def cancel(self) -> None:
+        """Notes the cancellation."""
+        self.cancelled = True
+
+    def consumed(self, count: int) -> None:
+        """Counts answer bytes passed on."""
+        self.granted += count
+
+
+class Opener:
+    """Opens exchanges that the test answers.
+
+    Attributes:
+        opened: Instance, request, response sink and request sink of each.
+        refusals: Errors for the next exchanges, before anything is sent.
+    """
+
+    def __init__(self) -> None:
+        self.opened: list[Any] = []
+        self.refusals: list[errors.RequestError] = []
+
+    def open_at(
+        self,
+        instance: str,
+        request: exchange.OpenRequest,
+        response: exchange.ResponseSink,
+    ) -> Request:
+        """Notes an exchange."""
+        sink = Request()
+        self.opened.append((instance, request, response, sink))
+        if self.refusals:
+            response.fail(self.refusals.pop(0), exchange.Load())
+        return sink
+
+    def open(
+        self, request: exchange.OpenRequest, response: exchange.ResponseSink
+    ) -> Request:
+        """Notes an exchange of the only instance."""
+        return self.open_at("", request, response)
+
+
+class Picker:
+    """Takes targets in the given order."""
+
+    def __init__(self, targets: list[model.Target]) -> None:
+        self.targets = targets
+        self.loads: dict[str, exchange.Load] = {}
+
+    def pick(
+        self, service: str, exclude: frozenset[str], now: float
+    ) -> model.Target | None:
+        """Returns the first target that is not excluded."""
+        left = (x for x in self.targets if x.id not in exclude)
+        return next(left, None)
+
+    def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
+        """Notes the load."""
+        self.loads[target_id] = load
+
+
+class Admission:
+    """Admits when the test says so."""
+
+    def __init__(self) -> None:
+        self.waiting: list[defer.Deferred[None]] = []
+        self.hold = False
+
+    def admit(
+        self, account: config_model.ClientAccount
+    ) -> "defer.Deferred[None]":
+        """Returns a Deferred that the test may hold back."""
+        result: defer.Deferred[None] = defer.Deferred()
+        self.waiting.append(result)
+        if not self.hold:
+            result.callback(None)
+        return result
+
+
+class Records(local.LocalRecords):
+    """Idempotency records that note what became of each ticket."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.endings: list[str] = []
+
+    def finish(self, ticket: ports.Ticket, outcome: ports.Outcome) -> None:
+        """Notes a finished ticket."""
+        self.endings.append("finish")
+        super().finish(ticket, outcome)
+
+    def release(self, ticket: ports.Ticket) -> None:
+        """Notes a released ticket."""
+        self.endings.append("release")
+        super().release(ticket)
+
+    def abandon(self, ticket: ports.Ticket) -> None:
+        """Notes an abandoned ticket."""
+        self.endings.append("abandon")
+        super().abandon(ticket)
+
+
+ROUTES = (
+    config_model.Route("open", "/open", "s", open=True, repeatable=True),
+    config_model.Route("once", "/once", "s", open=True),
+    config_model.Route("keyed", "/keyed", "s"),
+)
+
+
+def configuration() -> config_model.Configuration:
+    """Returns a configuration with `ROUTES` and the token `cf_k1_secret`."""
+    digest = config_model.secret_digest("secret")
+    return config_model.Configuration(
+        accounts={"amani": config_model.ClientAccount("amani", 10, 20)},
+        keys={"k1": config_model.Key("k1", "amani", digest)},
+        routes={route.id: route for route in ROUTES},
+    )
+
+
+def target(id: str, instance: str = "") -> model.Target:
+    """Returns a target; its instance is `i-<id>` unless given."""
+    return model.Target(id, "s", instance or f"i-{id}", 3)
+
+
+def site(clock: Any, opener: Opener, **fields: Any) -> parts.Parts:
+    """Returns the parts of an entry in front of the targets t1 and t2."""
+    targets = fields.pop("targets", [target("t1"), target("t2")])
+    given = {
+        "configuration": configuration,
+        "admission": Admission(),
+        "records": Records(),
+        "picker": Picker(targets),
+        "budget": policies.ShareBudget(),
+        "open_at": opener.open_at,
+        "targets": lambda service: targets,
+        "relay": lambda instance: None,
+        "clock": clock,
+    }
+    return parts.Parts(**{**given, **fields})
+
+
+def forwarder(clock: Any, opener: Opener, **fields: Any) -> forward.Forwarder:
+    """Returns the forwarding logic of an entry; see `site`."""
+    return forward.Forwarder(site(clock, opener, **fields))
