Fix the types of the process list

Cause: mypy joined two unrelated classes to object. Change: the processes are collected from each kind by itself. Figures: mypy reports no issue.

--- a/src/cicadafront/emulator/processes.py
+++ b/src/cicadafront/emulator/processes.py
@@ -262,9 +262,9 @@
 
     def processes(self) -> list[ManagedProcess]:
         """Returns all processes that were started."""
-        parts = [*self.instances.values(), *self.targets.values()]
-        started = [part.process for part in parts if part.process is not None]
-        return [*started, self.store]
+        started = [instance.process for instance in self.instances.values()]
+        started += [target.process for target in self.targets.values()]
+        return [*(item for item in started if item is not None), self.store]
 
     def stop(self) -> list[str]:
         """Ends all processes and removes the folder.
