--- /dev/null
+++ b/src/cicadafront/cli/main.py
@@ -0,0 +1,47 @@
+"""The command `cicadafront`."""
+
+from importlib import metadata
+
+from cleo import application
+
+from cicadafront.cli import config, fleet, keys
+
+COMMANDS = (
+    config.CheckCommand,
+    config.MergeCommand,
+    config.DiffCommand,
+    config.ApplyCommand,
+    config.HistoryCommand,
+    fleet.ConfigStatusCommand,
+    fleet.StatusCommand,
+    fleet.TargetsCommand,
+    fleet.AccountsCommand,
+    fleet.TraceCommand,
+    fleet.ShardReleaseCommand,
+    keys.KeyCreateCommand,
+    keys.KeyWithdrawCommand,
+)
+
+
+def build() -> application.Application:
+    """Returns the application with all commands."""
+    built = application.Application("cicadafront", _version())
+    for command in COMMANDS:
+        built.add(command())
+    return built
+
+
+def _version() -> str:
+    try:
+        return metadata.version("cicadafront")
+    except metadata.PackageNotFoundError:
+        return "unknown"
+
+
+def main() -> int:
+    """Runs the command line and ends the process with its exit code."""
+    return build().run()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cicadafront/config/folder.py
+++ b/src/cicadafront/config/folder.py
@@ -11,9 +11,15 @@
 from cicadafront import errors
 from cicadafront.config import model, schema
 
-# Key ids have no underscore: it divides the parts of a token.
 _NAME = r"[A-Za-z0-9][A-Za-z0-9.-]{0,63}"
-_name = schema.text(_NAME, "a name of 1 to 64 letters, digits, '.' or '-'")
+account_name = schema.text(
+    _NAME, "a name of 1 to 64 letters, digits, '.' or '-'"
+)
+# Key ids have no underscore: it divides the parts of a token.
+key_id = schema.text(
+    r"[A-Za-z0-9][A-Za-z0-9-]{0,63}",
+    "a key id of 1 to 64 letters, digits or '-'",
+)
 _prefix = schema.text(
     r"/|(/(?!\.{1,2}(/|$))[!-\"$-.0->@-~]+){1,64}/?",
     "a path such as /rounds without query, spaces, empty or dot segments",
@@ -32,13 +38,13 @@
         "weight": schema.Field(schema.number(0.01, 100), 1.0),
     },
     "keys": {
-        "account": schema.Field(_name, required=True),
+        "account": schema.Field(account_name, required=True),
         "digest": schema.Field(_digest, required=True),
     },
     "services": {"floor": schema.Field(schema.number(0, 1), 0.5)},
     "routes": {
         "prefix": schema.Field(_prefix, required=True),
-        "service": schema.Field(_name, required=True),
+        "service": schema.Field(account_name, required=True),
         "methods": schema.Field(schema.list_of(_method, 16), []),
         "open": schema.Field(schema.boolean, False),
         "repeatable": schema.Field(schema.boolean, False),
@@ -204,7 +210,7 @@
     def _add_entry(self, file: str, section: str, id: str, entry: Any) -> None:
         path = f"{section}.{id}"
         try:
-            (_key_id if section == "keys" else _name)(id)
+            (key_id if section == "keys" else account_name)(id)
         except ValueError as error:
             self.errors.append(
                 errors.ConfigError(file, path, f"the name {error}")
@@ -285,12 +291,6 @@
         )
 
 
-_key_id = schema.text(
-    r"[A-Za-z0-9][A-Za-z0-9-]{0,63}",
-    "a key id of 1 to 64 letters, digits or '-'",
-)
-
-
 def entries(values: Entries) -> Iterable[tuple[str, str, str, Any]]:
     """Yields section, entry, key and value in a fixed order."""
     for section in SECTIONS:
--- a/src/cicadafront/store/client.py
+++ b/src/cicadafront/store/client.py
@@ -25,6 +25,7 @@
 from twisted.web import client as web_client
 
 from cicadafront import errors, ports
+from cicadafront.store import body
 
 # Answers take milliseconds; a store that needs longer counts as unavailable.
 CALL_TIMEOUT_SECONDS = 2.0
@@ -88,17 +89,17 @@
         return self._pool.closeCachedConnections()
 
     async def _send(
-        self, method: str, path: str, query: dict[str, Any], body: bytes | None
+        self, method: str, path: str, query: dict[str, Any], data: bytes | None
     ) -> _Answer:
         response = await self._http.request(
             method,
             f"{self._url}{path}?{parse.urlencode(query)}",
-            data=body,
+            data=data,
             headers=_HEADERS,
             allow_redirects=False,
             unbuffered=True,
         )
-        content = await web_client.readBody(response)
+        content = await body.read(response)
         return _Answer(response.code, response.headers, content)
 
     async def _call(
@@ -106,10 +107,10 @@
         method: str,
         path: str,
         query: dict[str, Any],
-        body: bytes | None = None,
+        data: bytes | None = None,
         wait: float = 0.0,
     ) -> _Answer:
-        sending = defer.ensureDeferred(self._send(method, path, query, body))
+        sending = defer.ensureDeferred(self._send(method, path, query, data))
         try:
             answer = await sending.addTimeout(
                 self._timeout + wait, self._reactor
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -7,13 +7,13 @@
 import urllib.request
 
 from parameterized import parameterized
-from twisted.internet import defer, task
+from twisted.internet import defer, protocol, task
 
 from cicadafront import errors
 from cicadafront.cli import loop
 from cicadafront.emulator import store as emulator
 from cicadafront.store import client, outage
-from tests.store.support import code, result
+from tests.store.support import code, result, serve
 
 
 class EmulatorTest(unittest.TestCase):
@@ -106,16 +106,13 @@
     def setUp(self):
         reactor = loop.reactor()
 
+        self.store, self.port, self.url = serve()
+
         def start():
-            store = emulator.EmulatedStore(reactor)
-            port = reactor.listenTCP(
-                0, emulator.site(store), interface="127.0.0.1"
-            )
-            url = f"http://127.0.0.1:{port.getHost().port}"
-            http = client.HttpStore(reactor, url, timeout=0.5)
-            return defer.succeed((store, port, http, url))
+            http = client.HttpStore(reactor, self.url, timeout=0.5)
+            return defer.succeed(http)
 
-        self.store, self.port, self.http, self.url = loop.call(start)
+        self.http = loop.call(start)
 
     def tearDown(self):
         loop.call(self.http.close)
@@ -177,6 +174,42 @@
             self.call("get", "k")
         self.assertLess(time.monotonic() - start, 1.4)
 
+    @parameterized.expand([("stalls", False), ("ends short", True)])
+    def test_body_that(self, _name, close):
+        """A stalled or short body fails, and its connection is closed."""
+        reactor = loop.reactor()
+        peers = []
+
+        class Stalling(protocol.Protocol):
+            def dataReceived(self, data):  # noqa: N802
+                peers.append(self)
+                self.transport.write(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                    b"X-Version: 1\r\n\r\nabc"
+                )
+                if close:
+                    self.transport.loseConnection()
+
+            def connectionLost(self, reason=None):  # noqa: N802
+                peers.remove(self)
+
+        def listen():
+            factory = protocol.Factory.forProtocol(Stalling)
+            return defer.succeed(
+                reactor.listenTCP(0, factory, interface="127.0.0.1")
+            )
+
+        def read():
+            http = client.HttpStore(reactor, url, timeout=0.3)
+            return http.get("k").addErrback(lambda f: f.value.code)
+
+        port = loop.call(listen)
+        url = f"http://127.0.0.1:{port.getHost().port}"
+        self.assertEqual(loop.call(read), "store_unavailable")
+        loop.call(lambda: task.deferLater(reactor, 0.1))
+        self.assertEqual(peers, [])
+        loop.call(lambda: defer.maybeDeferred(port.stopListening))
+
     def test_refused_connection_has_a_typed_error(self):
         loop.call(lambda: defer.maybeDeferred(self.port.stopListening))
         with self.assertRaises(errors.StoreUnavailableError):
