--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -114,6 +114,10 @@
     def _connect(self) -> None:
         if self._state is not _State.QUEUED:
             return
+        if self._is_late():
+            # The slot came free at the very deadline.
+            self._expire()
+            return
         try:
             place = self._agent.place(self._request.target)
         except errors.RequestError as error:
@@ -138,6 +142,10 @@
         if self._state is not _State.CONNECTING:
             connection.abort()
             return
+        if self._is_late():
+            connection.abort()
+            self._expire()
+            return
         now = self._agent.clock.seconds()
         self._connection = connection
         self._state = _State.RUNNING
@@ -233,6 +241,9 @@
             self._load(),
         )
 
+    def _is_late(self) -> bool:
+        return self._agent.clock.seconds() >= self._deadline
+
     def _refuse(self, error: errors.RequestError) -> None:
         if self._state is not _State.DONE:
             self._close(observer.Cancelled())
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -167,7 +167,9 @@
             timeout,
             self._clock,
             lambda *_: failure.Failure(
-                failures.call_error("call_timeout", f"{self.peer} did not answer.")
+                failures.call_error(
+                    "call_timeout", f"{self.peer} did not answer."
+                )
             ),
         )
         result.addBoth(self._called, id)
--- /dev/null
+++ b/tests/agent/test_agent.py
@@ -0,0 +1,400 @@
+"""Tests of exchanges between the agent and its targets."""
+
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import defer, error, task
+from twisted.python import failure
+
+from cicadafront import model
+from cicadafront.agent import agent, idle, observer, queue, targets
+from cicadafront.daemon import local
+from cicadafront.peer import exchange
+from tests.support import memory
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Socket:
+    """The handle of a connection; says what a peek at it finds."""
+
+    def __init__(self):
+        self.unread = None
+
+    def recv(self, _size, _flags):
+        if self.unread is None:
+            raise BlockingIOError
+        return self.unread
+
+
+class TargetTransport(memory.Transport):
+    """A transport to a target."""
+
+    connected = True
+
+    def __init__(self):
+        super().__init__()
+        self.handle = Socket()
+
+    def getHandle(self):  # noqa: N802
+        return self.handle
+
+
+class Connector:
+    """Connects at once, later, or never."""
+
+    def __init__(self):
+        self.made = []
+        self.failed = []
+        self.delay = False
+
+    def connect(self, place, made):
+        self.made.append(made)
+        self.failed.append(defer.Deferred())
+        if not self.delay:
+            made.makeConnection(TargetTransport())
+        return self.failed[-1]
+
+
+class Watcher:
+    """Notes what the agent reports."""
+
+    def __init__(self):
+        self.outcomes = []
+        self.strays = []
+
+    def started(self, now, target, request):
+        return target
+
+    def finished(self, now, token, outcome):
+        self.outcomes.append(outcome)
+
+    def mangled(self, now, target):
+        self.strays.append(target)
+
+
+class Site:
+    """An agent beside the target `t`."""
+
+    def __init__(self, slots=2):
+        self.clock = task.Clock()
+        self.watcher = Watcher()
+        self.connector = Connector()
+        self.directory = local.StaticDirectory()
+        self.queue = queue.FifoQueue(limit=2)
+        self.state(model.TargetState.SERVING, slots)
+        self.agent = agent.Agent(
+            self.directory,
+            self.queue,
+            self.watcher,
+            self.connector,
+            self.clock,
+        )
+
+    def state(self, state, slots=2):
+        target = model.Target("t", "s", "i", slots, state)
+        place = targets.LocalTarget(target, "127.0.0.1", 1)
+        self.directory.beside["t"] = place
+
+    def open(self, repeatable=True, timeout=5.0, method="GET", fields=()):
+        """Opens an exchange; returns its two ends."""
+        head = model.RequestHead(method, "/x", ((b"Host", b"h"), *fields))
+        request = exchange.OpenRequest(
+            head, "", "s", "t", timeout, repeatable=repeatable
+        )
+        response = memory.Response()
+        return self.agent.open(request, response), response
+
+    @property
+    def transport(self):
+        """The newest connection to the target."""
+        return self.connector.made[-1].transport
+
+    def receive(self, data, index=-1):
+        """Takes bytes from the target."""
+        self.connector.made[index].dataReceived(data)
+
+    def lose(self, reason=error.ConnectionDone, index=-1):
+        """Ends a connection from the side of the target."""
+        made = self.connector.made[index]
+        made.connectionLost(failure.Failure(reason()))
+
+
+class HandOverTest(unittest.TestCase):
+    """Guards against requests that reach a target changed."""
+
+    def test_request_on_the_wire(self):
+        site = Site()
+        sink, response = site.open(
+            method="POST",
+            fields=((b"Content-Length", b"3"), (b"x-deadline-ms", b"9")),
+        )
+        sink.body(b"abc")
+        sink.end()
+        self.assertEqual(
+            site.transport.value(),
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"X-Deadline-Ms: 5000\r\n\r\nabc",
+        )
+        site.receive(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
+        self.assertEqual(response.events, [200, b"ok", "end"])
+        self.assertEqual(site.watcher.outcomes, [observer.Completed(200, 0)])
+
+    def test_body_that_comes_before_the_connection(self):
+        site = Site()
+        site.connector.delay = True
+        sink, response = site.open(
+            method="POST", fields=((b"Transfer-Encoding", b"chunked"),)
+        )
+        sink.body(b"abc")
+        sink.end()
+        self.assertEqual(response.taken, 0)
+        site.connector.made[-1].makeConnection(TargetTransport())
+        data = site.transport.value()
+        self.assertTrue(data.endswith(b"\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+        self.assertEqual(response.taken, 3)
+
+    def test_upload_waits_for_the_target(self):
+        site = Site()
+        sink, response = site.open(
+            method="POST", fields=((b"Content-Length", b"9"),)
+        )
+        site.transport.producer.pauseProducing()
+        sink.body(b"abc")
+        self.assertEqual(response.taken, 0)
+        site.transport.producer.resumeProducing()
+        self.assertEqual(response.taken, 3)
+
+    def test_download_pauses_the_target(self):
+        site = Site()
+        sink, response = site.open()
+        size = exchange.WINDOW_BYTES * 2
+        site.receive(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+        piece = b"x" * exchange.CHUNK_BYTES
+        sent = 0
+        while site.transport.producerState == "producing":
+            site.receive(piece)
+            sent += len(piece)
+        self.assertLessEqual(sent, exchange.WINDOW_BYTES)
+        sink.consumed(sent)
+        self.assertEqual(site.transport.producerState, "producing")
+
+
+class BrokenAnswerTest(unittest.TestCase):
+    """Guards against passing on answers that are not whole."""
+
+    @parameterized.expand(
+        [
+            ("nothing", b"", error.ConnectionDone, "closed"),
+            ("half a head", b"HTTP/1.1 20", error.ConnectionDone, "closed"),
+            ("half a body", OK[:-1], error.ConnectionDone, "short"),
+            (
+                "half a chunk",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\na",
+                error.ConnectionDone,
+                "short",
+            ),
+            (
+                "chunk head cut",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5",
+                error.ConnectionDone,
+                "short",
+            ),
+            (
+                "reset in a body that ends with the connection",
+                b"HTTP/1.1 200 OK\r\n\r\npart",
+                error.ConnectionLost,
+                "short",
+            ),
+            ("not HTTP", b"\x00\x01\r\n\r\n", None, "mangled"),
+            (
+                "bad chunk",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n",
+                None,
+                "mangled",
+            ),
+            (
+                "switch nobody asked for",
+                b"HTTP/1.1 101 Switching\r\n\r\n",
+                None,
+                "mangled",
+            ),
+        ]
+    )
+    def test_broken(self, _name, data, reason, kind):
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        if data:
+            site.receive(data)
+        if reason:
+            site.lose(reason)
+        self.assertEqual(response.events[-1], ("target_failed", "unknown"))
+        self.assertNotIn("end", response.events)
+        self.assertEqual(site.watcher.outcomes, [observer.Failed(kind)])
+        self.assertEqual(site.queue.load("t").slots_in_use, 0)
+
+    def test_body_that_ends_with_the_connection(self):
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        site.receive(b"HTTP/1.1 200 OK\r\n\r\nall")
+        site.lose()
+        self.assertEqual(response.events, [200, b"all", "end"])
+
+    def test_bytes_beyond_the_answer(self):
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        site.receive(OK + OK)
+        self.assertEqual(response.events, [200, b"ok", "end"])
+        self.assertTrue(site.transport.aborted)
+        self.assertEqual(site.watcher.outcomes, [observer.Failed("mangled")])
+
+
+class NotRunTest(unittest.TestCase):
+    """Guards against a refusal that claims too much or too little."""
+
+    def test_refused_connection(self):
+        site = Site()
+        site.connector.delay = True
+        sink, response = site.open()
+        sink.end()
+        site.connector.failed[-1].errback(error.ConnectionRefusedError())
+        self.assertEqual(response.events, [("target_failed", "no")])
+        self.assertEqual(site.watcher.outcomes, [observer.Failed("refused")])
+
+    @parameterized.expand(
+        [
+            ("leaving", model.TargetState.LEAVING),
+            ("starting", model.TargetState.STARTING),
+            ("ejected", model.TargetState.EJECTED),
+        ]
+    )
+    def test_target_takes_no_work(self, _name, state):
+        site = Site()
+        site.state(state)
+        _, response = site.open()
+        self.assertEqual(response.events, [("target_leaving", "no")])
+        self.assertEqual(site.connector.made, [])
+
+    def test_target_that_leaves_while_work_waits(self):
+        site = Site(slots=1)
+        first, _ = site.open()
+        first.end()
+        _, waiting = site.open()
+        site.state(model.TargetState.LEAVING)
+        site.receive(OK)
+        self.assertEqual(waiting.events, [("target_leaving", "no")])
+
+    def test_unknown_target(self):
+        site = Site()
+        site.directory.beside.clear()
+        _, response = site.open()
+        self.assertEqual(response.events, [("no_target", "no")])
+
+    @parameterized.expand([("waiting", 1, "no"), ("running", 0, "unknown")])
+    def test_deadline(self, _name, index, executed):
+        site = Site(slots=1)
+        ends = [site.open(timeout=1.0)[1] for _ in range(2)]
+        site.clock.advance(1.0)
+        expected = [("deadline_exceeded", executed)]
+        self.assertEqual(ends[index].events, expected)
+        self.assertTrue(site.connector.made[0].transport.aborted)
+        self.assertIsInstance(site.watcher.outcomes[0], observer.Stalled)
+        self.assertEqual(site.queue.load("t"), exchange.Load())
+
+    def test_slots_and_queue_are_limits(self):
+        site = Site(slots=2)
+        ends = [site.open() for _ in range(5)]
+        self.assertEqual(len(site.connector.made), 2)
+        self.assertEqual(site.queue.load("t"), exchange.Load(2, 2))
+        self.assertEqual(ends[4][1].events, [("queue_full", "no")])
+        ends[2][0].cancel()
+        ends[0][0].cancel()
+        self.assertEqual(len(site.connector.made), 3)
+        self.assertEqual(site.queue.load("t"), exchange.Load(2, 0))
+
+
+class ReuseTest(unittest.TestCase):
+    """Guards against answers that cross on reused connections."""
+
+    def _idle(self, site):
+        sink, _ = site.open()
+        sink.end()
+        site.receive(OK)
+
+    @parameterized.expand(
+        [("repeatable", True, 1), ("not repeatable", False, 2)]
+    )
+    def test_reuse(self, _name, repeatable, connections):
+        site = Site()
+        self._idle(site)
+        sink, response = site.open(repeatable=repeatable)
+        sink.end()
+        self.assertEqual(len(site.connector.made), connections)
+        site.receive(OK)
+        self.assertEqual(response.events, [200, b"ok", "end"])
+
+    @parameterized.expand([("late answer", b"H", ["t"]), ("closed", b"", [])])
+    def test_unread_bytes_prevent_reuse(self, _name, unread, strays):
+        site = Site()
+        self._idle(site)
+        site.transport.handle.unread = unread
+        site.open()
+        self.assertEqual(len(site.connector.made), 2)
+        self.assertTrue(site.connector.made[0].transport.aborted)
+        self.assertEqual(site.watcher.strays, strays)
+
+    def test_bytes_before_a_request(self):
+        site = Site()
+        self._idle(site)
+        site.receive(OK)
+        self.assertTrue(site.transport.aborted)
+        self.assertEqual(site.watcher.strays, ["t"])
+        site.open()
+        self.assertEqual(len(site.connector.made), 2)
+
+    def test_closed_and_expired_connections_are_forgotten(self):
+        site = Site()
+        self._idle(site)
+        site.lose()
+        self._idle(site)
+        site.clock.advance(idle.IDLE_SECONDS)
+        self.assertTrue(site.transport.aborted)
+        self._idle(site)
+        self.assertEqual(len(site.connector.made), 3)
+
+    def test_early_answer_ends_the_connection(self):
+        site = Site()
+        sink, response = site.open(
+            method="POST", fields=((b"Content-Length", b"9"),)
+        )
+        sink.body(b"abc")
+        site.receive(OK)
+        sink.body(b"def")
+        self.assertEqual(response.events, [200, b"ok", "end"])
+        self.assertTrue(site.transport.aborted)
+
+    def test_cancel_closes_the_connection(self):
+        site = Site()
+        sink, response = site.open()
+        sink.cancel()
+        self.assertTrue(site.transport.aborted)
+        site.receive(OK)
+        self.assertEqual(response.events, [])
+        self.assertEqual(site.watcher.outcomes, [observer.Cancelled()])
+
+    def test_cancel_before_the_connection(self):
+        site = Site()
+        site.connector.delay = True
+        sink, _ = site.open()
+        sink.cancel()
+        transport = TargetTransport()
+        site.connector.made[-1].makeConnection(transport)
+        self.assertEqual(transport.value(), b"")
+        self.assertTrue(transport.aborted)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/peer/test_link.py
@@ -0,0 +1,361 @@
+"""Tests of links, streams and calls between two instances."""
+
+import struct
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+from parameterized import parameterized
+from twisted.internet import defer, error, task
+from twisted.python import failure
+
+from cicadafront import errors, model
+from cicadafront.peer import codec, exchange, heartbeat, link
+from tests.support import memory
+
+HEAD = model.RequestHead("GET", "/x", ((b"Host", b"h"),))
+REQUEST = exchange.OpenRequest(HEAD, "amani", "s", "t", 5.0)
+OK = model.ResponseHead(200, ((b"X", b"1"),))
+DEAD_SECONDS = heartbeat.PING_AFTER_SECONDS + heartbeat.DEAD_AFTER_SECONDS
+
+
+def _services(clock, id, version=link.PROTOCOL_VERSION, handlers=None):
+    hello = codec.Hello(id, 1, version)
+    return link.Services(hello, memory.Opener(), handlers or {}, clock)
+
+
+class Pair:
+    """A link from the instance a to the instance b."""
+
+    def __init__(self, version=link.PROTOCOL_VERSION, peer="b", handlers=None):
+        self.clock = task.Clock()
+        self.a = _services(self.clock, "a")
+        self.b = _services(self.clock, "b", version, handlers)
+        self.client = link.Link(self.a, peer)
+        self.server = link.Link(self.b)
+        self.silent = False
+
+    def connect(self):
+        """Connects both sides."""
+        self.server.makeConnection(memory.Transport())
+        self.client.makeConnection(memory.Transport())
+        self.pump()
+        return self
+
+    def pump(self):
+        """Carries bytes until both sides are quiet."""
+        moved = self.client.transport is not None
+        while moved and not self.silent:
+            moved = False
+            for here, there in (
+                (self.client, self.server),
+                (self.server, self.client),
+            ):
+                data = here.transport.take()
+                if data and not there.closed:
+                    there.dataReceived(data)
+                    moved = True
+                if here.transport.aborted and not there.closed:
+                    there.connectionLost(_lost())
+                    moved = True
+
+    def advance(self, seconds):
+        """Lets time pass in small steps."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.pump()
+
+    def open(self):
+        """Opens a stream; returns both ends at each side."""
+        response = memory.Response()
+        request = self.client.open(REQUEST, response)
+        self.pump()
+        if not self.b.opener.opened:
+            return request, response, None, None
+        _, _, far_response, far_request = self.b.opener.opened[-1]
+        return request, response, far_request, far_response
+
+    def inject(self, frame):
+        """Gives the client a frame that the server did not mean to send."""
+        self.client.stringReceived(codec.encode(frame))
+        self.pump()
+
+
+def _lost():
+    return failure.Failure(error.ConnectionLost())
+
+
+class StreamTest(unittest.TestCase):
+    """Guards against exchanges that lose or reorder anything."""
+
+    def test_whole_exchange(self):
+        pair = Pair().connect()
+        request, response, far_request, far_response = pair.open()
+        self.assertEqual(pair.b.opener.opened[0][1], REQUEST)
+        body = bytes(range(256)) * 700
+        request.body(body)
+        request.end()
+        pair.pump()
+        self.assertEqual(far_request.data, body)
+        self.assertTrue(far_request.ended)
+        far_response.head(OK, exchange.Load(2, 1))
+        far_response.body(b"abc")
+        far_response.end()
+        pair.pump()
+        self.assertEqual(response.events, [200, b"abc", "end"])
+        self.assertFalse(pair.client.busy or pair.server.busy)
+
+    def test_open_before_the_connection(self):
+        pair = Pair()
+        request, response, _, _ = pair.open()
+        request.body(b"abc")
+        pair.connect()
+        self.assertEqual(pair.b.opener.opened[0][3].data, b"abc")
+
+    def test_cancel_and_fail(self):
+        pair = Pair().connect()
+        request, response, far_request, _ = pair.open()
+        request.cancel()
+        pair.pump()
+        self.assertTrue(far_request.cancelled)
+        _, response, _, far_response = pair.open()
+        refusal = errors.QueueFullError("Full.", retry_after=0.5)
+        far_response.fail(refusal, exchange.Load(3, 9))
+        pair.pump()
+        self.assertEqual(response.events, [("queue_full", "no")])
+        self.assertEqual(response.error.status, 503)
+        self.assertEqual(response.error.retry_after, 0.5)
+
+    def test_windows_are_reported_in_steps(self):
+        pair = Pair().connect()
+        request, response, far_request, far_response = pair.open()
+        far_response.head(OK, exchange.Load())
+        piece = b"x" * 1024
+        for _ in range(64):
+            request.body(piece)
+            far_response.body(piece)
+            pair.pump()
+            far_response.consumed(1024)
+            request.consumed(1024)
+        pair.pump()
+        self.assertEqual(response.taken, 64 * 1024)
+        self.assertEqual(far_request.granted, 64 * 1024)
+
+    @parameterized.expand(
+        [
+            ("body before head", [codec.Data(1, b"x")], "link_lost"),
+            ("end before head", [codec.End(1)], "link_lost"),
+            (
+                "beyond the window",
+                [codec.Head(1, OK, exchange.Load())]
+                + [codec.Data(1, b"x" * exchange.CHUNK_BYTES)] * 6,
+                "link_lost",
+            ),
+        ]
+    )
+    def test_peer_that_breaks_the_rules(self, _name, frames, code):
+        pair = Pair().connect()
+        _, response, far_request, _ = pair.open()
+        for frame in frames:
+            pair.inject(frame)
+        self.assertEqual(response.events[-1], (code, "unknown"))
+        self.assertNotIn("end", response.events)
+        self.assertTrue(far_request.cancelled)
+
+    @parameterized.expand(
+        [
+            ("second head", codec.Head(1, OK, exchange.Load())),
+            ("unknown stream", codec.Data(99, b"x")),
+            ("unknown reply", codec.Reply(98, "", b"x")),
+            ("open from the wrong side", codec.Open(5, REQUEST)),
+        ]
+    )
+    def test_crossed_frames_are_dropped_and_counted(self, _name, frame):
+        pair = Pair().connect()
+        _, response, _, far_response = pair.open()
+        far_response.head(OK, exchange.Load())
+        pair.pump()
+        pair.inject(frame)
+        far_response.body(b"abc")
+        far_response.end()
+        pair.pump()
+        pair.inject(codec.Data(1, b"late"))
+        self.assertEqual(response.events, [200, b"abc", "end"])
+        self.assertEqual(pair.a.counts["frames_dropped"], 2)
+
+    def test_a_stream_id_opens_once(self):
+        pair = Pair().connect()
+        pair.open()
+        pair.server.stringReceived(codec.encode(codec.Open(1, REQUEST)))
+        self.assertEqual(len(pair.b.opener.opened), 1)
+        self.assertEqual(pair.b.counts["frames_dropped"], 1)
+
+    def test_fault_in_one_stream_leaves_the_others(self):
+        pair = Pair().connect()
+        _, first, far_request, _ = pair.open()
+        _, second, _, far_second = pair.open()
+        far_request.body = None
+        pair.server.stringReceived(codec.encode(codec.Data(1, b"x")))
+        pair.pump()
+        self.assertEqual(first.events, [("internal_error", "unknown")])
+        far_second.head(OK, exchange.Load())
+        pair.pump()
+        self.assertEqual(second.events, [200])
+
+
+class LossTest(unittest.TestCase):
+    """Guards against false statements about whether a request ran."""
+
+    def test_before_the_hello(self):
+        pair = Pair()
+        _, response, _, _ = pair.open()
+        pair.client.makeConnection(memory.Transport())
+        pair.client.connectionLost(_lost())
+        self.assertEqual(response.events, [("link_lost", "no")])
+
+    def test_no_hello_in_time(self):
+        pair = Pair()
+        _, response, _, _ = pair.open()
+        pair.client.makeConnection(memory.Transport())
+        pair.clock.advance(link.HELLO_SECONDS)
+        self.assertEqual(response.events, [("link_lost", "no")])
+
+    def test_after_the_open_frame(self):
+        pair = Pair().connect()
+        _, response, far_request, _ = pair.open()
+        pair.client.connectionLost(_lost())
+        pair.server.connectionLost(_lost())
+        self.assertEqual(response.events, [("link_lost", "unknown")])
+        self.assertTrue(far_request.cancelled)
+
+    def test_open_on_a_closed_link(self):
+        pair = Pair().connect()
+        pair.client.close()
+        _, response, _, _ = pair.open()
+        pair.clock.advance(0)
+        self.assertEqual(response.events, [("link_lost", "no")])
+
+    @parameterized.expand(
+        [("other instance", {"peer": "c"}), ("other version", {"version": 9})]
+    )
+    def test_refused_hello(self, _name, fields):
+        pair = Pair(**fields)
+        _, response, _, _ = pair.open()
+        pair.connect()
+        self.assertEqual(response.events, [("link_lost", "no")])
+        self.assertEqual(pair.b.opener.opened, [])
+        self.assertEqual(pair.a.counts["hellos_refused"], 1)
+
+    def test_silent_link(self):
+        pair = Pair().connect()
+        _, response, far_request, _ = pair.open()
+        pair.silent = True
+        pair.advance(DEAD_SECONDS - 0.1)
+        self.assertEqual(response.events, [])
+        pair.advance(0.2)
+        self.assertEqual(response.events, [("link_lost", "unknown")])
+        self.assertTrue(far_request.cancelled)
+
+    def test_quiet_but_live_link(self):
+        pair = Pair().connect()
+        _, response, _, _ = pair.open()
+        pair.advance(10)
+        self.assertEqual(response.events, [])
+        self.assertFalse(pair.client.closed or pair.server.closed)
+
+    def test_idle_link_needs_no_heartbeat(self):
+        pair = Pair().connect()
+        pair.silent = True
+        pair.advance(10)
+        self.assertFalse(pair.client.closed)
+        self.assertEqual(pair.client.transport.value(), b"")
+
+    def test_paused_process_does_not_condemn_its_peer(self):
+        pair = Pair().connect()
+        _, response, _, _ = pair.open()
+        pair.silent = True
+        pair.advance(heartbeat.PING_AFTER_SECONDS + 0.1)
+        pair.clock.advance(10.0)
+        pair.silent = False
+        pair.advance(1.0)
+        self.assertEqual(response.events, [])
+
+
+class CallTest(unittest.TestCase):
+    """Guards against calls that never end or hide their error."""
+
+    def _call(self, handler, method="m", timeout=1.0):
+        pair = Pair(handlers={"m": handler}).connect()
+        result = pair.client.call(method, b"in", timeout)
+        pair.pump()
+        return pair, result
+
+    def _code(self, result):
+        seen = []
+        result.addErrback(lambda reason: seen.append(reason.value.code))
+        return seen
+
+    def test_answer(self):
+        pair, result = self._call(lambda peer, body: peer.encode() + body)
+        seen = []
+        result.addCallback(seen.append)
+        self.assertEqual(seen, [b"ain"])
+        self.assertFalse(pair.client.busy)
+
+    @parameterized.expand(
+        [
+            (
+                "typed",
+                lambda *_: defer.fail(errors.StoreConflictError("x")),
+                "m",
+                "store_conflict",
+            ),
+            ("bug", lambda *_: {}["x"], "m", "internal_error"),
+            ("unknown", lambda *_: b"", "n", "method_unknown"),
+        ]
+    )
+    def test_error(self, _name, handler, method, code):
+        _, result = self._call(handler, method)
+        self.assertEqual(self._code(result), [code])
+
+    def test_timeout_and_late_reply(self):
+        late = defer.Deferred()
+        pair, result = self._call(lambda *_: late)
+        seen = self._code(result)
+        pair.advance(1.1)
+        self.assertEqual(seen, ["call_timeout"])
+        late.callback(b"late")
+        pair.pump()
+        self.assertEqual(pair.a.counts["frames_dropped"], 1)
+
+    def test_lost_link(self):
+        pair, result = self._call(lambda *_: defer.Deferred())
+        seen = self._code(result)
+        pair.client.connectionLost(_lost())
+        self.assertEqual(seen, ["call_failed"])
+
+
+class FrameFuzzTest(unittest.TestCase):
+    """Guards against peers that crash an instance with their bytes."""
+
+    @hypothesis.settings(
+        max_examples=500, deadline=None, derandomize=True, database=None
+    )
+    @hypothesis.given(strategies.lists(strategies.binary(max_size=80)))
+    def test_arbitrary_frames(self, frames):
+        pair = Pair().connect()
+        pair.open()
+        for frame in frames:
+            if not pair.client.closed:
+                data = struct.pack("!I", len(frame)) + frame
+                pair.client.dataReceived(data)
+
+    def test_overlong_frame(self):
+        pair = Pair().connect()
+        size = struct.pack("!I", link.MAX_FRAME_BYTES + 1)
+        pair.client.dataReceived(size)
+        self.assertTrue(pair.client.closed)
+
+
+if __name__ == "__main__":
+    unittest.main()
