Add the pure core of gossip membership with a byte budget

Change: records with versions raised only by their owner, SWIM probes with 3 relays and a path per direction, a dissemination queue, urgent broadcasts with offers on probes and re-sending on request, anti-entropy by bucket digests, and a token bucket of 1.2 KB/s (IP and UDP headers counted) with priorities. The failure detector's clock stands still during a pause and while nothing is heard. "Dead" from others counts as a suspicion only.

--- /dev/null
+++ b/src/cicadafront/membership/antientropy.py
@@ -0,0 +1,117 @@
+"""Repair of lost records by comparing digests with a random peer.
+
+The parties compare bucket digests, then the member digests of some buckets
+that differ, then the record hashes of the members that differ.
+"""
+
+import random
+
+from cicadafront.membership import messages, records, table
+
+# Entries (8 bytes) and fetch items (about 70 bytes) that fit a datagram.
+MAX_ENTRIES = 150
+MAX_ITEMS = 14
+# Record hashes listed for one member; the rest is repaired in later rounds.
+MAX_HELD = 64
+_MAX_HELD_TOTAL = 240
+
+
+def digest(known: table.Table) -> messages.Digest:
+    """Returns the digest of all buckets."""
+    return messages.Digest(tuple(known.buckets))
+
+
+def summarize(
+    known: table.Table, theirs: messages.Digest, rng: random.Random
+) -> messages.Summary | None:
+    """Lists the members of buckets that differ, as far as they fit."""
+    if len(theirs.buckets) != table.BUCKETS:
+        return None
+    pairs = zip(known.buckets, theirs.buckets, strict=True)
+    differing = [n for n, (mine, other) in enumerate(pairs) if mine != other]
+    rng.shuffle(differing)
+    listed: list[int] = []
+    entries: dict[int, int] = {}
+    for bucket in differing:
+        found = {
+            records.id_hash(member.record.id): member.digest
+            for member in known.bucket_members(bucket)
+        }
+        if listed and len(entries) + len(found) > MAX_ENTRIES:
+            continue
+        listed.append(bucket)
+        entries.update(list(found.items())[:MAX_ENTRIES])
+    return messages.Summary(tuple(listed), entries) if listed else None
+
+
+def compare(
+    known: table.Table, summary: messages.Summary
+) -> tuple[messages.Fetch | None, list[records.Record]]:
+    """Compares a peer's summary with the table.
+
+    Returns:
+        What to ask the peer for, and records that it lacks for certain: the
+        dead instances that it lists as running.
+    """
+    differing = [
+        hash
+        for hash, other in summary.entries.items()
+        if (member := known.by_hash(hash)) is None or member.digest != other
+    ]
+    differing += [
+        hash
+        for bucket in summary.buckets
+        for member in known.bucket_members(bucket)
+        if (hash := records.id_hash(member.record.id)) not in summary.entries
+    ]
+    dead: list[records.Record] = [
+        member.record
+        for hash in summary.entries
+        if (member := known.by_hash(hash)) and member.record.id in known.dead
+    ]
+    items: dict[int, tuple[int, ...]] = {}
+    total = 0
+    for hash in differing[:MAX_ITEMS]:
+        items[hash] = _held_hashes(known.by_hash(hash))
+        total += len(items[hash])
+        if total > _MAX_HELD_TOTAL:
+            break
+    return (messages.Fetch(items) if items else None), dead
+
+
+def _held_hashes(member: table.Member | None) -> tuple[int, ...]:
+    if member is None:
+        return ()
+    live = [r for r in member.held() if not _gone(r)]
+    return tuple(record.digest() for record in live[:MAX_HELD])
+
+
+def _gone(record: records.Record) -> bool:
+    return isinstance(record, records.TargetRecord) and record.gone
+
+
+def answer(
+    known: table.Table, fetch: messages.Fetch
+) -> tuple[list[records.Record], messages.Fetch | None]:
+    """Answers a fetch.
+
+    Returns:
+        Records that the peer lacks, and what to ask it for in turn.
+    """
+    missing: list[records.Record] = []
+    wanted: dict[int, tuple[int, ...]] = {}
+    for hash, theirs in fetch.items.items():
+        member = known.by_hash(hash)
+        held = _held_hashes(member)
+        if member is not None:
+            lacks = set(held).difference(theirs)
+            missing += [
+                record
+                for record in member.held()
+                if record.digest() in lacks
+                or member.record.id in known.dead
+                and record is member.record
+            ]
+        if set(theirs).difference(held) and not fetch.second:
+            wanted[hash] = held
+    return missing, messages.Fetch(wanted, True) if wanted else None
--- /dev/null
+++ b/src/cicadafront/membership/exchange.py
@@ -0,0 +1,250 @@
+"""Handling of each kind of message, and the sending of answers."""
+
+import random
+from collections.abc import Callable, Sequence
+
+from cicadafront.membership import (
+    antientropy,
+    broadcasting,
+    budget,
+    codec,
+    messages,
+    outbox,
+    probing,
+    records,
+    state,
+)
+
+# Topic of broadcasts that carry records; not available to others.
+RECORDS_TOPIC = ""
+# Records of one urgent broadcast; leaves room for the envelope.
+_BROADCAST_BYTES = 950
+
+_P = budget.Priority
+Datagrams = list[outbox.Datagram]
+BroadcastHandler = Callable[[bytes], None]
+
+
+class Exchange:
+    """Answers messages and sends broadcasts.
+
+    Attributes:
+        topics: Handlers of broadcasts by topic.
+    """
+
+    def __init__(
+        self,
+        known: state.State,
+        broadcasts: broadcasting.Broadcasts,
+        out: outbox.Outbox,
+        rng: random.Random,
+    ):
+        self.topics: dict[str, list[BroadcastHandler]] = {}
+        self._state = known
+        self._broadcasts = broadcasts
+        self._outbox = out
+        self._rng = rng
+
+    # Sending.
+
+    def send(
+        self,
+        now: float,
+        message: probing.Send,
+        priority: budget.Priority,
+        carried: Sequence[records.Record] = (),
+    ) -> Datagrams:
+        """Sends one message, if the budget allows it."""
+        me = self._state.me
+        return self._outbox.send(now, me, message, priority, carried)
+
+    def ask(
+        self, now: float, address: records.Address, body: messages.Body
+    ) -> Datagrams:
+        """Sends a question of the anti-entropy exchange."""
+        sequence = self._state.judge.prober.next_sequence()
+        message = probing.Send(address, sequence, body)
+        return self.send(now, message, _P.ORDINARY)
+
+    def send_records(
+        self,
+        now: float,
+        address: records.Address,
+        items: Sequence[records.Record],
+    ) -> Datagrams:
+        """Sends records, in as many datagrams as they need."""
+        out: Datagrams = []
+        for part in outbox.split(items):
+            message = probing.Send(address, 0, messages.Update())
+            out += self.send(now, message, _P.ORDINARY, part)
+        return out
+
+    def broadcast(self, now: float, topic: str, payload: bytes) -> Datagrams:
+        """Starts an urgent broadcast."""
+        me = self._state.me
+        content = self._broadcasts.create(now, me, topic, payload)
+        return self._forward(now, content, (me.id,))
+
+    def broadcast_records(self, now: float) -> Datagrams:
+        """Broadcasts the records that are marked as urgent."""
+        if not self._state.urgent:
+            return []
+        found = map(self._state.known.record, self._state.urgent)
+        items = [record for record in found if record is not None]
+        self._state.urgent.clear()
+        out: Datagrams = []
+        for part in outbox.split(items, _BROADCAST_BYTES):
+            payload = codec.encode_records(part, now)
+            out += self.broadcast(now, RECORDS_TOPIC, payload)
+        return out
+
+    def flush(self, now: float) -> Datagrams:
+        """Sends forwards that were waiting for budget."""
+        out: Datagrams = []
+        pending = self._broadcasts.pending
+        while pending:
+            forward = pending.popleft()
+            if now > forward.expires:
+                continue
+            message = probing.Send(forward.address, 0, forward.message)
+            sent = self.send(now, message, _P.URGENT)
+            if not sent:
+                pending.appendleft(forward)
+                break
+            out += sent
+        return out
+
+    def _forward(
+        self, now: float, content: messages.Broadcast, excluded: tuple[str, ...]
+    ) -> Datagrams:
+        judge = self._state.judge
+        peers = judge.random_peers(broadcasting.FANOUT, excluded)
+        expires = now + broadcasting.PENDING_SECONDS
+        self._broadcasts.pending.extend(
+            broadcasting.Forward(content, address, expires) for address in peers
+        )
+        return self.flush(now)
+
+    # Receiving.
+
+    def receive(
+        self, now: float, message: messages.Message, sender: records.Address
+    ) -> Datagrams:
+        """Handles a message and returns the answers."""
+        update = isinstance(message.body, messages.Update)
+        own = self._state.me
+        newer = self._state.merge(now, message.carried, spread=not update)
+        refuted = own is not self._state.me
+        carried: list[records.Record] = [self._state.me] if refuted else []
+        out = self._meet(now, message, sender)
+        if update:
+            out += self.send_records(now, sender, newer)
+        out += self._dispatch(now, message, sender, carried)
+        missing = self._broadcasts.missing(message.recent)
+        if missing:
+            out += self.ask(now, sender, messages.Want(missing))
+        return out
+
+    def _meet(
+        self, now: float, message: messages.Message, sender: records.Address
+    ) -> Datagrams:
+        """Asks for the record of an unknown sender; accuses a dead one."""
+        member = self._state.known.members.get(message.sender)
+        record = member.record if member else None
+        if (
+            record is None
+            or not record.version
+            or record.incarnation < message.incarnation
+        ):
+            wanted = messages.Fetch({records.id_hash(message.sender): ()})
+            return self.ask(now, sender, wanted)
+        if isinstance(message.body, messages.Ping):
+            # It gets the accusation with the acknowledgement.
+            return []
+        return self.send_records(now, sender, self._accusation(message))
+
+    def _accusation(self, message: messages.Message) -> list[records.Record]:
+        member = self._state.known.members.get(message.sender)
+        if member is None or not member.record.version:
+            return []
+        record = member.record
+        if record.incarnation != message.incarnation or record.departed:
+            return []
+        alive = record.liveness is records.Liveness.ALIVE
+        return [] if alive else [record]
+
+    def _dispatch(
+        self,
+        now: float,
+        message: messages.Message,
+        sender: records.Address,
+        carried: list[records.Record],
+    ) -> Datagrams:
+        judge = self._state.judge
+        sends: list[probing.Send] = []
+        match message.body:
+            case messages.Ping() as ping:
+                sends = judge.prober.pinged(message, ping, sender)
+                carried = carried + self._accusation(message)
+            case messages.Ack() as ack:
+                sends = judge.prober.acknowledged(message, ack)
+            case messages.PingRequest() as request:
+                clock = judge.clock.time
+                sends = judge.prober.requested(clock, message, request, sender)
+            case messages.RelayedAck() as relayed:
+                judge.prober.relayed(message, relayed)
+            case messages.Broadcast() as content:
+                return self._receive_broadcast(now, message, content)
+            case messages.Want(ids):
+                return self._resend(now, ids, sender)
+            case body:
+                return self._repair(now, body, sender)
+        out: Datagrams = []
+        for send in sends:
+            out += self.send(now, send, _P.ANSWER, carried)
+        return out
+
+    def _receive_broadcast(
+        self, now: float, message: messages.Message, content: messages.Broadcast
+    ) -> Datagrams:
+        if not self._broadcasts.first_receipt(now, content):
+            return []
+        if content.topic == RECORDS_TOPIC:
+            items = codec.decode_records(content.payload, now)
+            # The broadcast itself reaches the others.
+            self._state.merge(now, items, spread=False)
+        me = self._state.me.id
+        excluded = me, message.sender, content.origin
+        out = self._forward(now, content, excluded)
+        for handler in list(self.topics.get(content.topic, ())):
+            handler(content.payload)
+        return out
+
+    def _resend(
+        self, now: float, ids: tuple[int, ...], sender: records.Address
+    ) -> Datagrams:
+        out: Datagrams = []
+        for id in ids[: broadcasting.MAX_RECENT]:
+            content = self._broadcasts.kept(id)
+            if content is not None:
+                message = probing.Send(sender, 0, content)
+                out += self.send(now, message, _P.URGENT)
+        return out
+
+    def _repair(
+        self, now: float, body: messages.Body, sender: records.Address
+    ) -> Datagrams:
+        known = self._state.known
+        question: messages.Body | None = None
+        items: list[records.Record] = []
+        match body:
+            case messages.Digest():
+                question = antientropy.summarize(known, body, self._rng)
+            case messages.Summary():
+                question, items = antientropy.compare(known, body)
+            case messages.Fetch():
+                items, question = antientropy.answer(known, body)
+        out = self.send_records(now, sender, items)
+        if question is not None:
+            out += self.ask(now, sender, question)
+        return out
--- /dev/null
+++ b/src/cicadafront/membership/gossip.py
@@ -0,0 +1,283 @@
+"""Pure core of the membership: takes the time and datagrams, returns datagrams.
+
+See section 3.2 of the design page. `tick` should be called every
+`TICK_SECONDS`.
+"""
+
+import random
+from collections.abc import Callable, Iterable, Sequence
+
+import attrs
+
+from cicadafront.membership import (
+    antientropy,
+    broadcasting,
+    budget,
+    codec,
+    exchange,
+    judgement,
+    messages,
+    outbox,
+    probing,
+    records,
+    state,
+)
+
+Datagram = outbox.Datagram
+
+TICK_SECONDS = 0.1
+DIGEST_SECONDS = 10.0
+DEAD_PROBE_SECONDS = 5.0
+# Without peers, a seed is asked at this period.
+SEED_SECONDS = 1.0
+# With peers, a seed is still asked now and then, so that two halves that have
+# forgotten each other meet again.
+SEED_IDLE_SECONDS = 60.0
+PURGE_SECONDS = 60.0
+MAX_PAYLOAD_BYTES = 1000
+
+_P = budget.Priority
+
+
+class Gossip:
+    """Membership as one instance sees it.
+
+    Attributes:
+        counters: Traffic counters.
+    """
+
+    def __init__(
+        self,
+        me: records.InstanceRecord,
+        rng: random.Random,
+        now: float,
+        seeds: Sequence[records.Address] = (),
+        bytes_per_second: float = budget.BYTES_PER_SECOND,
+    ):
+        self.counters = outbox.Counters()
+        self._rng = rng
+        self._seeds = [s for s in seeds if s != me.gossip_address]
+        self._state = state.State(me, rng, now)
+        self._judge = self._state.judge
+        self._known = self._state.known
+        self._budget = budget.ByteBudget(now, bytes_per_second)
+        broadcasts = broadcasting.Broadcasts()
+        out = outbox.Outbox(
+            self._known,
+            self._state.queue,
+            broadcasts,
+            self._budget,
+            self.counters,
+        )
+        self._exchange = exchange.Exchange(self._state, broadcasts, out, rng)
+        self._watchers: list[Callable[[], None]] = []
+        self._due: dict[Callable[[float], list[Datagram]], float] = {
+            self._probe: now + rng.uniform(0, judgement.PROBE_SECONDS),
+            self._probe_dead: now + DEAD_PROBE_SECONDS,
+            self._send_digest: now + rng.uniform(0, DIGEST_SECONDS),
+            self._ask_seed: now,
+            self._purge: now + PURGE_SECONDS,
+        }
+
+    @property
+    def me(self) -> records.InstanceRecord:
+        """The record of this instance."""
+        return self._state.me
+
+    @property
+    def superseded(self) -> bool:
+        """Whether a later process runs under the id of this instance."""
+        return self._state.superseded
+
+    def instance(self, id: str) -> records.InstanceRecord | None:
+        """Returns the record of an instance, or None if it is unknown."""
+        member = self._known.members.get(id)
+        return member.record if member and member.record.version else None
+
+    def instances(self) -> list[records.InstanceRecord]:
+        """Returns the records of all known instances, dead ones included."""
+        found = (member.record for member in self._known.members.values())
+        return [record for record in found if record.version]
+
+    def targets(self, service: str) -> list[records.TargetRecord]:
+        """Returns the targets of a service whose instance is not dead."""
+        return self._known.targets(service)
+
+    def touched_services(self) -> set[str]:
+        """Returns the services that changed since the last call."""
+        touched, self._known.touched = self._known.touched, set()
+        return touched
+
+    def held(self, id: str) -> list[records.Record]:
+        """Returns the record of an instance and those of its targets."""
+        member = self._known.members.get(id)
+        return list(member.held()) if member else []
+
+    def peers(self) -> list[str]:
+        """Returns the ids of the other instances believed to run."""
+        return list(self._judge.peers)
+
+    def reachable(self, id: str) -> bool:
+        """Returns whether this instance can talk directly to another one."""
+        member = self._known.members.get(id)
+        if member is None or not member.usable:
+            return False
+        return id == self.me.id or self._judge.reachable(id)
+
+    def path(self, id: str) -> probing.Path:
+        """Returns the direct path to an instance, by direction."""
+        return self._judge.prober.path(id)
+
+    def isolated(self, now: float) -> bool:
+        """Returns whether nothing is heard from any other instance."""
+        return self._judge.isolated(now)
+
+    def on_change(self, handler: Callable[[], None]) -> None:
+        """Calls the handler after changes of instances or targets."""
+        self._watchers.append(handler)
+
+    def on_broadcast(
+        self, topic: str, handler: Callable[[bytes], None]
+    ) -> None:
+        """Calls the handler once for each broadcast of another instance."""
+        self._exchange.topics.setdefault(topic, []).append(handler)
+
+    def announce_target(self, now: float, record: records.TargetRecord) -> None:
+        """Announces or changes a target of this instance.
+
+        Ejection, leaving and removal spread urgently with the next tick.
+        """
+        self._state.announce(now, record)
+        self._notify()
+
+    def withdraw_target(self, now: float, id: str) -> None:
+        """Announces that a target of this instance is gone."""
+        held = self._state.own_targets.get(id)
+        if held is not None and not held.gone:
+            self.announce_target(now, attrs.evolve(held, gone=True))
+
+    def leave(self, now: float) -> None:
+        """Announces a planned stop; spreads urgently with the next tick."""
+        self._state.restate(now, leaving=True)
+        self._notify()
+
+    def depart(self, now: float) -> list[Datagram]:
+        """Announces that the process ends now."""
+        dead = records.Liveness.DEAD
+        self._state.restate(now, leaving=True, liveness=dead)
+        return self._exchange.broadcast_records(now)
+
+    def broadcast(
+        self, now: float, topic: str, payload: bytes
+    ) -> list[Datagram]:
+        """Sends a payload urgently to every other live instance.
+
+        Raises:
+            ValueError: The topic is empty or the payload is too long.
+        """
+        if topic == exchange.RECORDS_TOPIC:
+            raise ValueError("a broadcast needs a topic that is not empty")
+        if len(payload) > MAX_PAYLOAD_BYTES:
+            raise ValueError(
+                f"the payload has {len(payload)} bytes; broadcast at most "
+                f"{MAX_PAYLOAD_BYTES}"
+            )
+        return self._exchange.broadcast(now, topic, payload)
+
+    def load(self, now: float, items: Iterable[records.Record]) -> None:
+        """Takes records of a full-state transfer, without spreading them."""
+        self._state.merge(now, items, spread=False)
+        self._notify()
+
+    def tick(self, now: float) -> list[Datagram]:
+        """Does what is due and returns the datagrams to send."""
+        out: list[Datagram] = []
+        sends, verdicts = self._judge.tick(now)
+        for send in sends:
+            out += self._exchange.send(now, send, _P.ANSWER)
+        for record in verdicts:
+            self._state.judged(now, record)
+        for action, due in list(self._due.items()):
+            if now >= due:
+                out += action(now)
+        out += self._exchange.broadcast_records(now)
+        out += self._exchange.flush(now)
+        self._notify()
+        return out
+
+    def receive(
+        self, now: float, data: bytes, sender: records.Address
+    ) -> list[Datagram]:
+        """Takes a datagram and returns the answers; ignores invalid ones."""
+        self.counters.received_datagrams += 1
+        self.counters.received_bytes += len(data) + budget.HEADER_BYTES
+        try:
+            message = codec.decode(data, now)
+            if not message.sender or message.sender == self.me.id:
+                raise codec.DatagramError("The datagram has no other sender.")
+            self._judge.clock.heard(now)
+            out = self._exchange.receive(now, message, sender)
+        except codec.DatagramError:
+            self.counters.ignored += 1
+            return []
+        self._notify()
+        return out
+
+    def _notify(self) -> None:
+        if self._state.changed:
+            self._state.changed = False
+            for handler in list(self._watchers):
+                handler()
+
+    def _probe(self, now: float) -> list[Datagram]:
+        period = judgement.probe_period(self._budget.level(now))
+        self._due[self._probe] = now + period * self._rng.uniform(0.8, 1.2)
+        if self._budget.room(now, _P.PROBE) <= 0:
+            return []
+        started = self._judge.probe()
+        if started is None:
+            return []
+        send, record = started
+        accused = record.liveness is not records.Liveness.ALIVE
+        # A suspect must learn of it to refute it.
+        carried = [record] if accused else []
+        return self._exchange.send(now, send, _P.PROBE, carried)
+
+    def _probe_dead(self, now: float) -> list[Datagram]:
+        """Tells a dead instance of it, in case it runs and can refute."""
+        self._due[self._probe_dead] = now + DEAD_PROBE_SECONDS
+        found = (self._known.members[id] for id in sorted(self._known.dead))
+        dead = [m.record for m in found if not m.record.departed]
+        if not dead:
+            return []
+        record = self._rng.choice(dead)
+        sequence = self._judge.prober.next_sequence()
+        ping = probing.Send(record.gossip_address, sequence, messages.Ping())
+        # Many are dead after a partition; half of them should be reached soon.
+        period = DEAD_PROBE_SECONDS / min(len(dead), 10)
+        self._due[self._probe_dead] = now + period
+        return self._exchange.send(now, ping, _P.ORDINARY, [record])
+
+    def _send_digest(self, now: float) -> list[Datagram]:
+        jitter = self._rng.uniform(0.8, 1.2)
+        self._due[self._send_digest] = now + DIGEST_SECONDS * jitter
+        body = antientropy.digest(self._known)
+        out: list[Datagram] = []
+        for address in self._judge.random_peers(1, ()):
+            out += self._exchange.ask(now, address, body)
+        return out
+
+    def _ask_seed(self, now: float) -> list[Datagram]:
+        period = SEED_IDLE_SECONDS if self._judge.peers else SEED_SECONDS
+        self._due[self._ask_seed] = now + period
+        if not self._seeds:
+            return []
+        sequence = self._judge.prober.next_sequence()
+        address = self._rng.choice(self._seeds)
+        ping = probing.Send(address, sequence, messages.Ping())
+        return self._exchange.send(now, ping, _P.ORDINARY)
+
+    def _purge(self, now: float) -> list[Datagram]:
+        self._due[self._purge] = now + PURGE_SECONDS
+        self._known.purge(now)
+        return []
--- /dev/null
+++ b/src/cicadafront/membership/judgement.py
@@ -0,0 +1,137 @@
+"""This instance's judgement of the others: probes, suspicion, reachability."""
+
+import random
+from collections.abc import Collection
+
+import attrs
+
+from cicadafront.membership import (
+    budget,
+    probing,
+    records,
+    suspicion,
+    table,
+)
+
+# A dead instance is found within about a probe period, whatever the size.
+PROBE_SECONDS = 0.5
+# Period when urgent broadcasts have drawn the budget down.
+SLOW_PROBE_SECONDS = 2.0
+
+
+def probe_period(level: float) -> float:
+    """Returns the seconds between probes at this level of the byte budget."""
+    low = budget.Priority.PROBE.value
+    high = budget.Priority.ORDINARY.value
+    scarce = min(1.0, max(0.0, (high - level) / (high - low)))
+    return PROBE_SECONDS + scarce * (SLOW_PROBE_SECONDS - PROBE_SECONDS)
+
+
+class Judge:
+    """Finds out which instances run and which can be talked to directly.
+
+    Attributes:
+        prober: Probes and paths.
+        clock: Time that this instance was awake and not cut off.
+    """
+
+    def __init__(
+        self, known: table.Table, me: str, rng: random.Random, now: float
+    ):
+        self.prober = probing.Prober(rng)
+        self.clock = suspicion.AwakeClock(now)
+        self._suspicions = suspicion.Suspicions()
+        self._known = known
+        self._me = me
+        self._rng = rng
+        self._isolated = False
+
+    @property
+    def peers(self) -> list[str]:
+        """Ids of the other instances that are not believed dead."""
+        return self.prober.rotation
+
+    def isolated(self, now: float) -> bool:
+        """Returns whether this instance seems to be cut off."""
+        return self.clock.isolated(now, len(self.peers))
+
+    def reachable(self, id: str) -> bool:
+        """Returns whether the direct path works, as far as is known."""
+        path = self.prober.path(id)
+        return not self._isolated and path.strikes < probing.STRIKES
+
+    def tick(
+        self, now: float
+    ) -> tuple[list[probing.Send], list[records.InstanceRecord]]:
+        """Returns messages to send and new verdicts."""
+        self.clock.tick(now, len(self.peers))
+        self._isolated = self.isolated(now)
+        sends, failed = self.prober.advance(self.clock.time, self._relays)
+        verdicts = []
+        for id in failed:
+            member = self._known.members.get(id)
+            if member and member.record.liveness is records.Liveness.ALIVE:
+                verdicts.append((member.record, records.Liveness.SUSPECT))
+        for id in self._suspicions.expired(self.clock.time):
+            member = self._known.members.get(id)
+            if member and member.record.liveness is records.Liveness.SUSPECT:
+                verdicts.append((member.record, records.Liveness.DEAD))
+        return sends, [
+            attrs.evolve(record, liveness=liveness)
+            for record, liveness in verdicts
+        ]
+
+    def probe(self) -> tuple[probing.Send, records.InstanceRecord] | None:
+        """Starts the next probe; returns it with the record of its target."""
+        id = self.prober.choose()
+        if id is None:
+            return None
+        record = self._known.members[id].record
+        send = self.prober.start(self.clock.time, id, record.gossip_address)
+        return send, record
+
+    def random_peers(
+        self, count: int, excluded: Collection[str]
+    ) -> list[records.Address]:
+        """Returns gossip addresses of random live instances."""
+        # A few more are drawn, so that enough remain without the excluded.
+        number = min(len(self.peers), count + len(excluded))
+        drawn = self._rng.sample(self.peers, number)
+        chosen = [id for id in drawn if id not in excluded][:count]
+        return [self._known.members[id].record.gossip_address for id in chosen]
+
+    def _relays(self, target: str) -> list[records.Address]:
+        return self.random_peers(probing.RELAYS, (target,))
+
+    def own_view(
+        self, record: records.InstanceRecord
+    ) -> records.InstanceRecord:
+        """Weakens the verdict "dead" of others to a suspicion.
+
+        An instance that was cut off has wrong verdicts on all others; only
+        instances that announced their departure are dead without a check.
+        """
+        dead = record.liveness is records.Liveness.DEAD
+        held = self._known.members.get(record.id)
+        if not dead or record.departed or held is None:
+            return record
+        if held.record.liveness is records.Liveness.DEAD:
+            return record
+        if held.record.liveness is records.Liveness.ALIVE:
+            self.prober.hasten(record.id)
+        return attrs.evolve(record, liveness=records.Liveness.SUSPECT)
+
+    def changed(self, id: str) -> None:
+        """Follows a change of the record of an instance."""
+        if id == self._me:
+            return
+        member = self._known.members[id]
+        if not member.usable:
+            self.prober.remove(id)
+            self._suspicions.cancel(id)
+            return
+        self.prober.add(id)
+        if member.record.liveness is records.Liveness.SUSPECT:
+            self._suspicions.start(self.clock.time, id)
+        else:
+            self._suspicions.cancel(id)
--- /dev/null
+++ b/src/cicadafront/membership/state.py
@@ -0,0 +1,164 @@
+"""Records of this instance and of the others, and how they change."""
+
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from cicadafront import model
+from cicadafront.membership import (
+    dissemination,
+    judgement,
+    records,
+    table,
+)
+
+_URGENT_STATES = (model.TargetState.EJECTED, model.TargetState.LEAVING)
+
+
+class State:
+    """The table with everything that follows its changes.
+
+    Attributes:
+        known: Table of all records.
+        queue: Records that are to travel with probes.
+        judge: This instance's judgement of the others.
+        urgent: Keys of records that wait for an urgent broadcast.
+        changed: Whether the table changed since the flag was cleared.
+        superseded: Whether a process with the same id and a higher
+            incarnation was seen.
+    """
+
+    def __init__(
+        self, me: records.InstanceRecord, rng: random.Random, now: float
+    ):
+        self.known = table.Table()
+        self.queue = dissemination.DisseminationQueue()
+        self.judge = judgement.Judge(self.known, me.id, rng, now)
+        self.urgent: dict[table.Key, None] = {}
+        self.changed = False
+        self.superseded = False
+        self._id = me.id
+        self._version = 0
+        self._store_own(now, me, urgent=False)
+
+    @property
+    def me(self) -> records.InstanceRecord:
+        """The record of this instance."""
+        return self.known.members[self._id].record
+
+    @property
+    def own_targets(self) -> dict[str, records.TargetRecord]:
+        """The targets of this instance by id, those gone included."""
+        return self.known.members[self._id].targets
+
+    def restate(
+        self,
+        now: float,
+        *,
+        leaving: bool = False,
+        liveness: records.Liveness = records.Liveness.ALIVE,
+        urgent: bool = True,
+    ) -> None:
+        """Raises the version of this instance's own record."""
+        leaving = leaving or self.me.leaving
+        record = attrs.evolve(self.me, leaving=leaving, liveness=liveness)
+        self._store_own(now, record, urgent)
+
+    def announce(self, now: float, record: records.TargetRecord) -> None:
+        """Announces a target of this instance if anything changed."""
+        if self.me.leaving:
+            # All its targets count as leaving.
+            return
+        held = self.own_targets.get(record.id)
+        host, port = record.address
+        record = attrs.evolve(
+            record,
+            address=("" if host == self.me.peer_address[0] else host, port),
+            owner=self._id,
+            incarnation=self.me.incarnation,
+            version=held.version if held else 0,
+            warm_since=now,
+        )
+        if record != held:
+            urgent = record.state in _URGENT_STATES or record.gone
+            self._store_own(now, record, urgent)
+
+    def judged(self, now: float, record: records.InstanceRecord) -> None:
+        """Stores a verdict of this instance on another one."""
+        self._store(now, record, spread=True)
+        if record.liveness is records.Liveness.SUSPECT:
+            self.urgent[table.key_of(record)] = None
+
+    def merge(
+        self, now: float, items: Iterable[records.Record], spread: bool
+    ) -> list[records.Record]:
+        """Merges records of others.
+
+        Args:
+            now: The current time.
+            items: The records.
+            spread: Whether to pass on those that are new.
+
+        Returns:
+            Held records that are newer than the ones received.
+        """
+        newer = []
+        for record in items:
+            if self._merge(now, record, spread) is table.Merge.OLDER:
+                held = self.known.record(table.key_of(record))
+                if held is not None:
+                    newer.append(held)
+        return newer
+
+    def _merge(
+        self, now: float, record: records.Record, spread: bool
+    ) -> table.Merge:
+        if table.key_of(record)[0] == self._id:
+            return self._merge_own(now, record)
+        if isinstance(record, records.InstanceRecord):
+            record = self.judge.own_view(record)
+        return self._store(now, record, spread)
+
+    def _merge_own(self, now: float, record: records.Record) -> table.Merge:
+        """Answers a statement of others on this instance."""
+        if record.incarnation > self.me.incarnation:
+            self.superseded = True
+            return table.Merge.SAME
+        if record.incarnation < self.me.incarnation:
+            return table.Merge.OLDER
+        held = self.known.record(table.key_of(record))
+        if held is not None and record.order() <= held.order():
+            same = record.order() == held.order()
+            return table.Merge.SAME if same else table.Merge.OLDER
+        self._version = max(self._version, record.version)
+        if isinstance(record, records.InstanceRecord):
+            # A suspect has little time; a dead instance is already replaced
+            # everywhere, and many may refute at once after a partition.
+            suspect = record.liveness is records.Liveness.SUSPECT
+            self.restate(now, urgent=suspect)
+        else:
+            gone = attrs.evolve(record, gone=True)
+            self._store_own(now, self.own_targets.get(record.id, gone), False)
+        return table.Merge.OLDER
+
+    def _store_own(
+        self, now: float, record: records.Record, urgent: bool
+    ) -> None:
+        self._version += 1
+        record = attrs.evolve(record, version=self._version)
+        self._store(now, record, spread=True)
+        if urgent:
+            self.urgent[table.key_of(record)] = None
+
+    def _store(
+        self, now: float, record: records.Record, spread: bool
+    ) -> table.Merge:
+        result = self.known.merge(record, now)
+        if result is table.Merge.NEWER:
+            key = table.key_of(record)
+            self.changed = True
+            self.judge.changed(key[0])
+            if spread:
+                self.queue.add(key)
+        return result
--- /dev/null
+++ b/src/cicadafront/membership/table.py
@@ -0,0 +1,241 @@
+"""Table of all known instances and targets, with the rules for merging."""
+
+import enum
+from collections.abc import Iterable, Iterator
+
+import attrs
+
+from cicadafront.membership import records
+
+BUCKETS = 64
+# How long the records of dead instances and of targets that are gone stay, so
+# that stale copies from a partitioned instance do not return.
+RETENTION_SECONDS = 3600.0
+
+# Names a record: owner (or instance) id, and target id or "" for the instance.
+Key = tuple[str, str]
+
+
+class Merge(enum.Enum):
+    """Result of comparing a received record with the table."""
+
+    NEWER = "newer"
+    SAME = "same"
+    OLDER = "older"
+
+
+def key_of(record: records.Record) -> Key:
+    """Returns the key of a record."""
+    if isinstance(record, records.InstanceRecord):
+        return record.id, ""
+    return record.owner, record.id
+
+
+@attrs.define
+class Member:
+    """An instance with its targets.
+
+    Attributes:
+        record: The instance's own record.
+        targets: Records of its targets by id, including those gone.
+        changed: Time of the last change of the instance record.
+        digest: XOR of the hashes of the records that exist.
+    """
+
+    record: records.InstanceRecord
+    changed: float
+    targets: dict[str, records.TargetRecord] = attrs.field(factory=dict)
+    digest: int = 0
+
+    @property
+    def usable(self) -> bool:
+        """Whether requests may be sent to its targets."""
+        dead = self.record.liveness is records.Liveness.DEAD
+        return self.record.version > 0 and not dead
+
+    def held(self) -> Iterator[records.Record]:
+        """Iterates over all its records."""
+        if self.record.version:
+            yield self.record
+        yield from self.targets.values()
+
+
+def _placeholder(target: records.TargetRecord) -> records.InstanceRecord:
+    nowhere = ("", 0)
+    return records.InstanceRecord(
+        target.owner, target.incarnation, 0, "", nowhere, nowhere
+    )
+
+
+class Table:
+    """Records by instance, with an index by service and bucket digests.
+
+    Attributes:
+        members: All members by instance id.
+        buckets: Digest of each bucket; dead members do not count, so that
+            it does not matter when each instance forgets them.
+        dead: Ids of members that are believed dead.
+        touched: Names of services whose targets changed since the reader
+            last cleared the set.
+    """
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+        self.buckets = [0] * BUCKETS
+        self.dead: set[str] = set()
+        self.touched: set[str] = set()
+        self._services: dict[str, dict[Key, records.TargetRecord]] = {}
+        self._by_hash: dict[int, str] = {}
+
+    def record(self, key: Key) -> records.Record | None:
+        """Returns the record of a key."""
+        member = self.members.get(key[0])
+        if member is None:
+            return None
+        return member.targets.get(key[1]) if key[1] else member.record
+
+    def targets(self, service: str) -> list[records.TargetRecord]:
+        """Returns the targets of a service whose owner is not dead."""
+        found = self._services.get(service, {}).values()
+        return [t for t in found if self.members[t.owner].usable]
+
+    def by_hash(self, hash: int) -> Member | None:
+        """Returns the member whose id has this hash."""
+        return self.members.get(self._by_hash.get(hash, ""))
+
+    def bucket_members(self, bucket: int) -> Iterator[Member]:
+        """Iterates over the members of a bucket that are not dead."""
+        for hash, id in self._by_hash.items():
+            if hash % BUCKETS == bucket and id not in self.dead:
+                yield self.members[id]
+
+    def merge(self, record: records.Record, now: float) -> Merge:
+        """Puts a record into the table if it is newer than the held one."""
+        if isinstance(record, records.InstanceRecord):
+            return self._merge_instance(record, now)
+        return self._merge_target(record, now)
+
+    def purge(self, now: float) -> None:
+        """Forgets dead members and targets gone for longer than retained."""
+        for member in list(self.members.values()):
+            old = now - member.changed > RETENTION_SECONDS
+            if old and not member.usable:
+                self._remove(member)
+                continue
+            # `warm_since` of a target that is gone holds when that was learnt.
+            expired = [
+                target.id
+                for target in member.targets.values()
+                if target.gone and now - target.warm_since > RETENTION_SECONDS
+            ]
+            for id in expired:
+                del member.targets[id]
+
+    def _merge_instance(
+        self, record: records.InstanceRecord, now: float
+    ) -> Merge:
+        member = self.members.get(record.id)
+        if member is None:
+            member = self._add(record, now)
+        elif record.order() <= member.record.order():
+            same = record.order() == member.record.order()
+            return Merge.SAME if same else Merge.OLDER
+        else:
+            self._count(member, remove=True)
+            if record.incarnation > member.record.incarnation:
+                self._clear_targets(member)
+            if member.record.version:
+                member.digest ^= member.record.digest()
+            member.record, member.changed = record, now
+        member.digest ^= record.digest()
+        self._count(member, remove=False)
+        self._touch(member)
+        return Merge.NEWER
+
+    def _merge_target(self, record: records.TargetRecord, now: float) -> Merge:
+        member = self.members.get(record.owner)
+        if member is None:
+            member = self._add(_placeholder(record), now)
+        elif record.incarnation > member.record.incarnation:
+            self._count(member, remove=True)
+            self._clear_targets(member)
+            member.record, member.changed = _placeholder(record), now
+            member.digest = 0
+        elif record.incarnation < member.record.incarnation:
+            return Merge.OLDER
+        held = member.targets.get(record.id)
+        if held is not None and record.version <= held.version:
+            same = record.version == held.version
+            return Merge.SAME if same else Merge.OLDER
+        self._count(member, remove=True)
+        self._replace_target(member, held, record, now)
+        self._count(member, remove=False)
+        return Merge.NEWER
+
+    def _replace_target(
+        self,
+        member: Member,
+        held: records.TargetRecord | None,
+        record: records.TargetRecord,
+        now: float,
+    ) -> None:
+        if held is not None:
+            self._drop_target(member, held)
+        if record.gone:
+            record = attrs.evolve(record, warm_since=now)
+        else:
+            if held and not held.gone and held.state is record.state:
+                # A change of slots or weight does not make a target cold.
+                record = attrs.evolve(record, warm_since=held.warm_since)
+            member.digest ^= record.digest()
+            index = self._services.setdefault(record.service, {})
+            index[key_of(record)] = record
+            self.touched.add(record.service)
+        member.targets[record.id] = record
+
+    def _drop_target(
+        self, member: Member, target: records.TargetRecord
+    ) -> None:
+        if target.gone:
+            return
+        member.digest ^= target.digest()
+        index = self._services[target.service]
+        del index[key_of(target)]
+        if not index:
+            del self._services[target.service]
+        self.touched.add(target.service)
+
+    def _clear_targets(self, member: Member) -> None:
+        for target in member.targets.values():
+            self._drop_target(member, target)
+        member.targets.clear()
+
+    def _add(self, record: records.InstanceRecord, now: float) -> Member:
+        member = self.members[record.id] = Member(record, now)
+        self._by_hash[records.id_hash(record.id)] = record.id
+        return member
+
+    def _remove(self, member: Member) -> None:
+        self._count(member, remove=True)
+        self._clear_targets(member)
+        self.dead.discard(member.record.id)
+        del self.members[member.record.id]
+        self._by_hash.pop(records.id_hash(member.record.id), None)
+
+    def _count(self, member: Member, remove: bool) -> None:
+        id = member.record.id
+        if member.record.liveness is records.Liveness.DEAD:
+            if remove:
+                self.dead.discard(id)
+            else:
+                self.dead.add(id)
+        else:
+            self.buckets[records.id_hash(id) % BUCKETS] ^= member.digest
+
+    def _touch(self, member: Member) -> None:
+        services: Iterable[str] = (
+            target.service
+            for target in member.targets.values()
+            if not target.gone
+        )
+        self.touched.update(services)
--- /dev/null
+++ b/tests/membership/network.py
@@ -0,0 +1,148 @@
+"""Datagram network on a virtual clock, for tests and measurements."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+import attrs
+
+from cicadafront.membership import gossip, records
+
+
+@attrs.define
+class Conditions:
+    """How the network treats datagrams.
+
+    Attributes:
+        loss: Share of datagrams that are lost.
+        duplication: Share that arrives twice.
+        delay: Shortest and longest one-way delay in seconds; datagrams
+            overtake one another.
+        blocked: Pairs (sender, receiver) between which nothing passes.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay: tuple[float, float] = (0.0005, 0.003)
+    blocked: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def block(self, senders, receivers) -> None:
+        """Cuts one direction between two groups."""
+        self.blocked |= set(itertools.product(senders, receivers))
+
+
+class Network:
+    """Instances that exchange datagrams; time passes only in `run`."""
+
+    def __init__(self, seed: int, conditions: Conditions | None = None):
+        self.now = 0.0
+        self.conditions = conditions or Conditions()
+        self.nodes: dict[str, gossip.Gossip] = {}
+        self.paused: set[str] = set()
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._names: dict[records.Address, str] = {}
+        self._inboxes: dict[str, list[tuple[bytes, records.Address]]] = {}
+
+    def start(
+        self, id: str, incarnation: int = 1, seeds=(), **options
+    ) -> gossip.Gossip:
+        """Starts an instance, in place of one with the same id."""
+        number = len(self._names) + 1
+        host = f"10.0.{number // 250}.{number % 250 + 1}"
+        address = host, 7002
+        me = records.InstanceRecord(
+            id, incarnation, 1, "dar-a", (host, 7001), address
+        )
+        rng = random.Random(self._rng.random())
+        node = gossip.Gossip(me, rng, self.now, seeds, **options)
+        self.nodes[id] = node
+        self._names[address] = id
+        self._inboxes[id] = []
+        self.at(self.now + self._rng.uniform(0, 0.1), self._ticker(id, node))
+        return node
+
+    def fleet(self, size: int, **options) -> list[gossip.Gossip]:
+        """Starts instances i000, i001, ... that already know one another."""
+        nodes = [self.start(f"i{n:03d}", **options) for n in range(size)]
+        known = [node.me for node in nodes]
+        for node in nodes:
+            node.load(self.now, known)
+        return nodes
+
+    def stop(self, id: str) -> None:
+        """Ends an instance without notice."""
+        del self.nodes[id]
+
+    def at(self, time: float, action: Callable[[], None]) -> None:
+        """Runs an action at a time."""
+        heapq.heappush(self._events, (time, next(self._order), action))
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self._events and self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def run_until(self, condition: Callable[[], bool], limit: float) -> float:
+        """Lets time pass until a condition holds; returns the seconds."""
+        start = self.now
+        while not condition():
+            if self.now - start > limit:
+                raise AssertionError(f"not true within {limit} s")
+            self.run(0.05)
+        return self.now - start
+
+    def resume(self, id: str) -> None:
+        """Ends a pause: what waited in the socket buffer is read at once."""
+        self.paused.discard(id)
+        waiting, self._inboxes[id] = self._inboxes[id], []
+        for data, sender in waiting:
+            self._receive(id, data, sender)
+
+    def send(self, id: str, datagrams: list[gossip.Datagram]) -> None:
+        """Takes the datagrams that an instance sends."""
+        for datagram in datagrams:
+            assert len(datagram.data) + 28 < 1400, "datagram too long"
+            receiver = self._names.get(datagram.address)
+            blocked = (id, receiver) in self.conditions.blocked
+            lost = self._rng.random() < self.conditions.loss
+            if receiver is None or blocked or lost:
+                continue
+            twice = self._rng.random() < self.conditions.duplication
+            for _ in range(1 + twice):
+                self._deliver(id, receiver, datagram)
+
+    def _deliver(
+        self, sender: str, receiver: str, datagram: gossip.Datagram
+    ) -> None:
+        source = self.nodes[sender].me.gossip_address
+        delay = self._rng.uniform(*self.conditions.delay)
+
+        def arrive() -> None:
+            node = self.nodes.get(receiver)
+            if node and node.me.gossip_address == datagram.address:
+                self._receive(receiver, datagram.data, source)
+
+        self.at(self.now + delay, arrive)
+
+    def _receive(self, id: str, data: bytes, sender: records.Address) -> None:
+        if id in self.paused:
+            self._inboxes[id].append((data, sender))
+        else:
+            node = self.nodes[id]
+            self.send(id, node.receive(self.now, data, sender))
+
+    def _ticker(self, id: str, node: gossip.Gossip) -> Callable[[], None]:
+        def tick() -> None:
+            if self.nodes.get(id) is not node:
+                return
+            if id not in self.paused:
+                self.send(id, node.tick(self.now))
+            self.at(self.now + gossip.TICK_SECONDS, tick)
+
+        return tick
--- /dev/null
+++ b/tests/membership/test_parts.py
@@ -0,0 +1,256 @@
+"""Tests of the merge rules and of the small parts of the gossip core."""
+
+import random
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from cicadafront import model
+from cicadafront.membership import (
+    antientropy,
+    broadcasting,
+    budget,
+    dissemination,
+    judgement,
+    messages,
+    records,
+    suspicion,
+    table,
+)
+
+ALIVE, SUSPECT, DEAD = records.Liveness
+
+
+def instance(id="a", incarnation=1, version=1, liveness=ALIVE):
+    """Returns an instance record."""
+    address = ("10.0.0.1", 7001)
+    return records.InstanceRecord(
+        id, incarnation, version, "dar-a", address, address, liveness
+    )
+
+
+def target(id="t", owner="a", incarnation=1, version=1, **changes):
+    """Returns a target record."""
+    record = records.TargetRecord(
+        id, "ledger", ("", 9000), 3, owner, incarnation, version
+    )
+    return attrs.evolve(record, **changes)
+
+
+class MergeTest(unittest.TestCase):
+    """Guards against an old record that replaces a newer one."""
+
+    @parameterized.expand(
+        [
+            ("same", (1, 5, ALIVE), table.Merge.SAME),
+            ("higher version", (1, 6, ALIVE), table.Merge.NEWER),
+            ("lower version", (1, 4, DEAD), table.Merge.OLDER),
+            ("accused", (1, 5, SUSPECT), table.Merge.NEWER),
+            ("restarted", (2, 1, ALIVE), table.Merge.NEWER),
+            ("old process", (0, 9, DEAD), table.Merge.OLDER),
+        ]
+    )
+    def test_instance(self, _name, fields, expected):
+        known = table.Table()
+        known.merge(instance(version=5), 0.0)
+        incarnation, version, liveness = fields
+        record = instance("a", incarnation, version, liveness)
+        self.assertIs(known.merge(record, 1.0), expected)
+
+    @parameterized.expand(
+        [
+            ("same", target(version=5), table.Merge.SAME),
+            ("newer", target(version=6), table.Merge.NEWER),
+            ("older", target(version=4), table.Merge.OLDER),
+            ("gone", target(version=6, gone=True), table.Merge.NEWER),
+            ("restarted", target(incarnation=2), table.Merge.NEWER),
+            ("old", target(incarnation=0, version=9), table.Merge.OLDER),
+        ]
+    )
+    def test_target(self, _name, record, expected):
+        known = table.Table()
+        known.merge(instance(), 0.0)
+        known.merge(target(version=5), 0.0)
+        self.assertIs(known.merge(record, 1.0), expected)
+
+    def test_digests_do_not_depend_on_the_order_of_arrival(self):
+        items = [
+            instance(n, i, v) for n in "ab" for i in (1, 2) for v in (1, 2)
+        ]
+        items += [
+            target(id, owner, incarnation, version, gone=version == 3)
+            for id in "xyz"
+            for owner in "ab"
+            for incarnation in (1, 2)
+            for version in (2, 3, 4)
+        ]
+        rng = random.Random(1)
+        digests = set()
+        for _ in range(50):
+            rng.shuffle(items)
+            known = table.Table()
+            for record in items:
+                known.merge(record, 0.0)
+            digests.add(tuple(known.buckets))
+            self.assertEqual(len(known.targets("ledger")), 6)
+        self.assertEqual(len(digests), 1)
+
+    def test_records_are_forgotten_after_the_retention(self):
+        known = table.Table()
+        known.merge(instance("a", liveness=DEAD), 0.0)
+        known.merge(instance("b"), 0.0)
+        known.merge(target(owner="b", gone=True), 0.0)
+        known.purge(table.RETENTION_SECONDS - 1)
+        self.assertEqual(len(known.members), 2)
+        known.purge(table.RETENTION_SECONDS + 1)
+        self.assertEqual(list(known.members), ["b"])
+        self.assertEqual(known.members["b"].targets, {})
+        self.assertEqual(known.dead, set())
+
+    @parameterized.expand(
+        [
+            ("slots", {"slots": 4}, 3.0),
+            ("served again", {"state": model.TargetState.EJECTED}, 20.0),
+        ]
+    )
+    def test_warm_time(self, _name, changes, expected):
+        known = table.Table()
+        known.merge(target(warm_since=3.0), 3.0)
+        second = target(version=2, warm_since=20.0, **changes)
+        known.merge(second, 20.0)
+        held = known.members["a"].targets["t"]
+        self.assertEqual(held.warm_since, expected)
+
+
+class BudgetTest(unittest.TestCase):
+    """Guards against traffic above the rate, and against blocked answers."""
+
+    def test_bucket(self):
+        bucket = budget.ByteBudget(0.0, 100.0)
+        bucket.spend(0.0, int(budget.BURST_BYTES) - budget.HEADER_BYTES)
+        self.assertEqual(bucket.level(0.0), 0.0)
+        self.assertEqual(bucket.level(5.0), 500.0)
+        self.assertEqual(bucket.level(1e6), budget.BURST_BYTES)
+
+    @parameterized.expand(
+        [(p.name, p) for p in budget.Priority if p.value >= 0]
+    )
+    def test_answers_go_before(self, _name, priority):
+        bucket = budget.ByteBudget(0.0)
+        while bucket.room(0.0, priority) > 0:
+            bucket.spend(0.0, 1000)
+        self.assertGreater(bucket.room(0.0, budget.Priority.ANSWER), 1000)
+
+    @parameterized.expand(
+        [("full", 24_000, 0.5), ("low", 9000, 1.25), ("empty", 0, 2.0)]
+    )
+    def test_probe_period(self, _name, level, expected):
+        self.assertEqual(judgement.probe_period(level), expected)
+
+
+class QueueTest(unittest.TestCase):
+    """Guards against records that starve, or are sent without end."""
+
+    def setUp(self):
+        self.queue = dissemination.DisseminationQueue()
+        self.size = dissemination.estimated_size(instance("a"))
+
+    def pick(self, count):
+        def find(key):
+            return instance(key[0])
+
+        picked = self.queue.pick(count * self.size, find)
+        return [record.id for record in picked]
+
+    def test_least_sent_first_then_most_recent(self):
+        for id in "abc":
+            self.queue.add((id, ""))
+        self.assertEqual(self.pick(2), ["c", "b"])
+        self.queue.add(("d", ""))
+        self.assertEqual(self.pick(3), ["d", "a", "c"])
+
+    def test_sent_a_limited_number_of_times(self):
+        self.queue.add(("a", ""))
+        sent = sum(len(self.pick(1)) for _ in range(50))
+        self.assertEqual(sent, dissemination.MAX_SENDS)
+
+    def test_changed_record_starts_again(self):
+        self.queue.add(("a", ""))
+        for _ in range(3):
+            self.pick(1)
+        self.queue.add(("a", ""))
+        self.assertEqual(len(self.queue), 1)
+        sent = sum(len(self.pick(1)) for _ in range(50))
+        self.assertEqual(sent, dissemination.MAX_SENDS)
+
+
+class SerialWindowTest(unittest.TestCase):
+    """Guards against a broadcast that is delivered twice."""
+
+    def test_each_serial_is_new_once(self):
+        rng = random.Random(1)
+        window = broadcasting.SerialWindow()
+        serials = [n + rng.randrange(200) for n in range(10_000)]
+        new = [serial for serial in serials if window.add(serial)]
+        self.assertEqual(len(new), len(set(serials)))
+        self.assertFalse(any(map(window.add, serials)))
+
+
+class AwakeClockTest(unittest.TestCase):
+    """Guards against judging others by one's own pause."""
+
+    @parameterized.expand(
+        [
+            ("running", 0.1, True, 3.0),
+            ("paused", 5.0, True, 0.25),
+            ("cut off", 0.1, False, 0.9),
+        ]
+    )
+    def test_time(self, _name, step, hears, expected):
+        clock = suspicion.AwakeClock(0.0)
+        now = 0.0
+        while now < 3.0 - 1e-6:
+            now += step
+            if hears:
+                clock.heard(now)
+            clock.tick(now, 10)
+        self.assertAlmostEqual(clock.time, expected)
+
+    def test_silence_of_few_is_their_failure(self):
+        clock = suspicion.AwakeClock(0.0)
+        for step in range(1, 31):
+            clock.tick(step / 10, suspicion.MIN_PEERS - 1)
+        self.assertAlmostEqual(clock.time, 3.0)
+
+
+class AntiEntropyTest(unittest.TestCase):
+    """Guards against differences that no exchange repairs."""
+
+    @parameterized.expand([("wide", 1300), ("narrow", 10)])
+    def test_messages_fit_a_datagram(self, _name, size):
+        mine, theirs = table.Table(), table.Table()
+        for number in range(size):
+            mine.merge(instance(f"i{number}"), 0.0)
+            theirs.merge(instance(f"i{number}", version=2), 0.0)
+        rng = random.Random(1)
+        summary = antientropy.summarize(mine, antientropy.digest(theirs), rng)
+        self.assertLessEqual(len(summary.entries), antientropy.MAX_ENTRIES)
+        fetch, _ = antientropy.compare(theirs, summary)
+        self.assertLessEqual(len(fetch.items), antientropy.MAX_ITEMS)
+
+    def test_equal_tables_exchange_nothing(self):
+        mine = table.Table()
+        mine.merge(instance(), 0.0)
+        digest = antientropy.digest(mine)
+        summary = antientropy.summarize(mine, digest, random.Random(1))
+        self.assertIsNone(summary)
+
+    def test_digest_of_other_size_is_ignored(self):
+        digest = messages.Digest((1, 2))
+        summary = antientropy.summarize(table.Table(), digest, random.Random(1))
+        self.assertIsNone(summary)
+
+
+if __name__ == "__main__":
+    unittest.main()
