Add the Twisted integration of the membership

Cause: the gossip core needs a socket, a clock, the first state of the fleet and the targets that announce themselves.

--- /dev/null
+++ b/src/cicadafront/membership/announce_http.py
@@ -0,0 +1,182 @@
+"""HTTP interface by which targets announce themselves.
+
+`PUT /v1/targets/<id>` with `{service, address, slots, load, state}`, and
+`DELETE /v1/targets/<id>`. Errors are problem+json (RFC 9457).
+"""
+
+import ipaddress
+import json
+import re
+from collections.abc import Callable
+
+import klein
+
+from cicadafront import errors, model
+from cicadafront.membership import announce, records
+
+MAX_BODY_BYTES = 16 * 1024
+MAX_SLOTS = 10_000
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+# Ejection is the agent's decision, not the target's.
+_STATES = {
+    state.value: state
+    for state in model.TargetState
+    if state is not model.TargetState.EJECTED
+}
+
+
+class AnnouncementError(errors.CicadafrontError):
+    """An announcement that cannot be taken.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    code = "announcement_invalid"
+
+    def __init__(self, message: str, status: int = 400):
+        super().__init__(message)
+        self.status = status
+
+
+def _name(field: str, value: object) -> str:
+    if not isinstance(value, str) or not _NAME.fullmatch(value):
+        raise AnnouncementError(
+            f"{field}: use 1 to 64 letters, digits, '.', '_' or '-', "
+            "starting with a letter or digit."
+        )
+    return value
+
+
+def _address(value: object) -> records.Address:
+    try:
+        if not isinstance(value, str):
+            raise ValueError
+        host, _, port = value.rpartition(":")
+        if host.startswith("[") and host.endswith("]"):
+            ip = str(ipaddress.IPv6Address(host[1:-1]))
+        else:
+            ip = str(ipaddress.IPv4Address(host))
+        if not port.isascii() or not port.isdigit():
+            raise ValueError
+        if not 0 < int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise AnnouncementError(
+            "address: give an IP address and a port, such as "
+            '"10.0.0.5:8080" or "[fd00::5]:8080".'
+        ) from None
+    return ip, int(port)
+
+
+def _slots(value: object) -> int:
+    whole = isinstance(value, int) and not isinstance(value, bool)
+    if not whole or not 1 <= value <= MAX_SLOTS:  # type: ignore[operator]
+        raise AnnouncementError(
+            f"slots: give a whole number from 1 to {MAX_SLOTS}."
+        )
+    return value  # type: ignore[return-value]
+
+
+def _load(value: object) -> float:
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    # The comparison fails for NaN as well.
+    if not number or not 0 <= value < 1e9:  # type: ignore[operator]
+        raise AnnouncementError("load: give a number of at least 0.")
+    return float(value)  # type: ignore[arg-type]
+
+
+def _state(value: object) -> model.TargetState:
+    state = _STATES.get(value) if isinstance(value, str) else None
+    if state is None:
+        raise AnnouncementError(f"state: give one of {', '.join(_STATES)}.")
+    return state
+
+
+def parse(id: str, body: bytes) -> announce.LocalTarget:
+    """Returns the target that an announcement describes.
+
+    Raises:
+        AnnouncementError: A field is missing or not valid; unknown fields
+            are ignored.
+    """
+    if len(body) > MAX_BODY_BYTES:
+        raise AnnouncementError(
+            f"The body is too large; send at most {MAX_BODY_BYTES} bytes.", 413
+        )
+    try:
+        fields = json.loads(body)
+    except (ValueError, RecursionError):
+        raise AnnouncementError(
+            "The body is no JSON; send an object with service, address, "
+            "slots, load and state."
+        ) from None
+    if not isinstance(fields, dict):
+        raise AnnouncementError("The body must be a JSON object.")
+    return announce.LocalTarget(
+        _name("id", id),
+        _name("service", fields.get("service")),
+        _address(fields.get("address")),
+        _slots(fields.get("slots")),
+        _load(fields.get("load", 0)),
+        _state(fields.get("state", "serving")),
+    )
+
+
+def _problem(request, status: int, code: str, detail: str) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader("content-type", "application/problem+json")
+    problem = {
+        "title": "The announcement was refused",
+        "status": status,
+        "code": code,
+        "detail": detail,
+    }
+    return json.dumps(problem).encode()
+
+
+class AnnouncementResource:
+    """Routes of the announcement interface."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self, registry: announce.TargetRegistry, seconds: Callable[[], float]
+    ):
+        self._registry = registry
+        self._seconds = seconds
+
+    @app.route("/v1/targets/<id>", methods=["PUT"])
+    def put(self, request, id: str) -> bytes:
+        """Takes an announcement."""
+        body = request.content.read(MAX_BODY_BYTES + 1)
+        self._registry.announce(self._seconds(), parse(id, body))
+        request.setResponseCode(204)
+        return b""
+
+    @app.route("/v1/targets/<id>", methods=["DELETE"])
+    def delete(self, request, id: str) -> bytes:
+        """Forgets a target; repeated deletions succeed."""
+        self._registry.remove(self._seconds(), _name("id", id))
+        request.setResponseCode(204)
+        return b""
+
+    @app.handle_errors(AnnouncementError)
+    def _invalid(self, request, failure) -> bytes:
+        error = failure.value
+        return _problem(request, error.status, error.code, error.message)
+
+    @app.handle_errors(announce.TooManyTargetsError)
+    def _too_many(self, request, failure) -> bytes:
+        error = failure.value
+        return _problem(request, 409, error.code, error.message)
+
+
+def resource(registry: announce.TargetRegistry, seconds: Callable[[], float]):
+    """Returns the web resource for the daemon's announcement address.
+
+    Args:
+        registry: Registry of the local targets.
+        seconds: Returns the current time on the registry's clock.
+    """
+    return AnnouncementResource(registry, seconds).app.resource()
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -44,6 +44,7 @@
 
     Attributes:
         counters: Traffic counters.
+        seeds: Addresses through which it joins, without its own.
     """
 
     def __init__(
@@ -56,7 +57,7 @@
     ):
         self.counters = outbox.Counters()
         self._rng = rng
-        self._seeds = [s for s in seeds if s != me.gossip_address]
+        self.seeds = [s for s in seeds if s != me.gossip_address]
         self._state = state.State(me, rng, now)
         self._judge = self._state.judge
         self._known = self._state.known
@@ -270,10 +271,10 @@
     def _ask_seed(self, now: float) -> list[Datagram]:
         period = SEED_IDLE_SECONDS if self._judge.peers else SEED_SECONDS
         self._due[self._ask_seed] = now + period
-        if not self._seeds:
+        if not self.seeds:
             return []
         sequence = self._judge.prober.next_sequence()
-        address = self._rng.choice(self._seeds)
+        address = self._rng.choice(self.seeds)
         ping = probing.Send(address, sequence, messages.Ping())
         return self._exchange.send(now, ping, _P.ORDINARY)
 
--- /dev/null
+++ b/src/cicadafront/membership/service.py
@@ -0,0 +1,183 @@
+"""Twisted integration of the membership: UDP, time and state transfer."""
+
+import random
+from collections.abc import Generator
+from typing import Any
+
+import eliot
+from twisted.internet import defer, error, protocol, task
+
+from cicadafront import errors, ports
+from cicadafront.membership import (
+    announce,
+    codec,
+    gossip,
+    transfer,
+    view,
+)
+
+TRANSFER_TIMEOUT_SECONDS = 5.0
+RETRY_SECONDS = 1.0
+
+
+class _Socket(protocol.DatagramProtocol):
+    """Passes datagrams between the socket and the service."""
+
+    def __init__(self, service: "MembershipService"):
+        self._service = service
+
+    def datagramReceived(  # noqa: N802 (name given by Twisted)
+        self, datagram: bytes, addr: tuple[str, int]
+    ) -> None:
+        self._service.received(datagram, addr)
+
+
+class MembershipService:
+    """Runs the gossip core of one daemon.
+
+    Attributes:
+        directory: Instances and targets.
+        broadcaster: Urgent messages.
+        joined: Whether the full state of the fleet was received, or there
+            is no seed to get it from.
+        send_errors: Datagrams that the socket refused.
+    """
+
+    def __init__(
+        self,
+        reactor,
+        core: gossip.Gossip,
+        calls: ports.PeerCalls,
+        rng: random.Random,
+        registry: announce.TargetRegistry | None = None,
+    ):
+        self.directory = view.GossipDirectory(core)
+        self.broadcaster = view.LocalBroadcaster(
+            core, reactor.seconds, self._send
+        )
+        self.joined = not core.seeds
+        self.send_errors = 0
+        self._reactor = reactor
+        self._core = core
+        self._calls = calls
+        self._rng = rng
+        self._registry = registry
+        self._port = None
+        self._loop = task.LoopingCall(self._tick)
+        self._loop.clock = reactor
+        self._transfer_due = 0.0
+        self._transferring = False
+        self._waiting: list[defer.Deferred[None]] = []
+        calls.register(transfer.METHOD, self._serve_page)
+
+    def start(self) -> None:
+        """Opens the socket and starts to join.
+
+        Raises:
+            twisted.internet.error.CannotListenError: The address is in use.
+        """
+        host, port = self._core.me.gossip_address
+        self._port = self._reactor.listenUDP(
+            port, _Socket(self), interface=host
+        )
+        self._loop.start(gossip.TICK_SECONDS)
+
+    def leave(self) -> None:
+        """Announces a planned stop; no new work comes after 2 s."""
+        self._core.leave(self._reactor.seconds())
+
+    def stop(self) -> "defer.Deferred[None]":
+        """Announces the end of the process and closes the socket."""
+        self._send(self._core.depart(self._reactor.seconds()))
+        if self._loop.running:
+            self._loop.stop()
+        port, self._port = self._port, None
+        return defer.maybeDeferred(port.stopListening) if port else _done()
+
+    def when_joined(self) -> "defer.Deferred[None]":
+        """Fires once the full state was received."""
+        if self.joined:
+            return _done()
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._waiting.append(waiting)
+        return waiting
+
+    def received(self, data: bytes, address: tuple[str, int]) -> None:
+        """Takes a datagram from the socket."""
+        now = self._reactor.seconds()
+        self._send(self._core.receive(now, data, address[:2]))
+
+    def _tick(self) -> None:
+        now = self._reactor.seconds()
+        if self._registry is not None:
+            self._registry.expire(now)
+        self._send(self._core.tick(now))
+        if not self.joined and not self._transferring:
+            self._join(now)
+
+    def _send(self, datagrams: list[gossip.Datagram]) -> None:
+        for datagram in datagrams:
+            if self._port is None:
+                return
+            try:
+                transport = self._port
+                transport.write(datagram.data, datagram.address)
+            except (OSError, ValueError, error.InvalidAddressError):
+                # A full buffer, or an address that a peer made up. Repair
+                # covers the loss.
+                self.send_errors += 1
+
+    def _join(self, now: float) -> None:
+        peers = self._core.peers()
+        if not peers or now < self._transfer_due:
+            return
+        self._transfer_due = now + RETRY_SECONDS * self._rng.uniform(1, 2)
+        self._transferring = True
+        done = self._transfer(self._rng.choice(peers))
+        done.addBoth(self._transfer_ended)
+
+    @defer.inlineCallbacks
+    def _transfer(
+        self, peer: str
+    ) -> Generator["defer.Deferred[bytes]", Any, None]:
+        after = ""
+        try:
+            while True:
+                body = yield self._calls.call(
+                    peer,
+                    transfer.METHOD,
+                    codec.encode_request(after),
+                    TRANSFER_TIMEOUT_SECONDS,
+                )
+                now = self._reactor.seconds()
+                items, after = codec.decode_page(body, now)
+                self._core.load(now, items)
+                if not after:
+                    break
+        except errors.CicadafrontError as failure:
+            eliot.log_message(
+                message_type="gossip: state transfer failed",
+                peer=peer,
+                code=failure.code,
+            )
+            return
+        self.joined = True
+        waiting, self._waiting = self._waiting, []
+        for deferred in waiting:
+            deferred.callback(None)
+
+    def _transfer_ended(self, result) -> None:
+        self._transferring = False
+        if result is not None:
+            eliot.log_message(
+                message_type="gossip: state transfer broke off",
+                reason=str(result.value),
+            )
+
+    def _serve_page(self, caller: str, body: bytes) -> bytes:
+        after = codec.decode_request(body)
+        return transfer.page(self._core, after, self._reactor.seconds())
+
+
+def _done() -> "defer.Deferred[None]":
+    return defer.succeed(None)
