Wire configuration and membership into the daemon and add the demo

Cause: the parts existed but no process ran them; two instances could not learn of each other's targets. Change: daemon.assembly builds store client, gossip, target registry, configuration sync and operators' endpoints from the settings; the daemon builds its fleet parts after its peer calls. Conclusion: the whole path runs as separate processes; records and detection come next.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 TESTS ?= tests
 
-.PHONY: test lint types unit format
+.PHONY: test lint types unit format demo
 
 test: lint types unit
 
@@ -25,3 +25,6 @@
 
 unit: .venv/installed
 	$(BIN)/python -m tests.run
+
+demo: .venv/installed
+	$(BIN)/python -m cicadafront.emulator.demo
--- /dev/null
+++ b/src/cicadafront/daemon/assembly.py
@@ -0,0 +1,243 @@
+"""Creates the parts of a daemon that know the fleet, from its settings."""
+
+import random
+import time
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.web import resource, server
+
+from cicadafront import model, ports, settings
+from cicadafront.agent import targets as agent_targets
+from cicadafront.config import current, sync
+from cicadafront.config import model as config_model
+from cicadafront.daemon import options, root, supervisor
+from cicadafront.membership import (
+    announce,
+    announce_http,
+    gossip,
+    records,
+    service,
+)
+from cicadafront.store import client, outage
+from cicadafront.telemetry import metrics, operators, tracing
+
+
+@attrs.frozen
+class RegisteredTargets:
+    """Targets beside this instance, as they announced themselves."""
+
+    registry: announce.TargetRegistry
+    instance: str
+    data_centre: str
+
+    def local(self, id: str) -> agent_targets.LocalTarget | None:
+        """Returns a target, or None if it is not beside this instance."""
+        found = self.registry.target(id)
+        if found is None:
+            return None
+        target = model.Target(
+            found.id,
+            found.service,
+            self.instance,
+            found.slots,
+            state=found.state,
+            data_centre=self.data_centre,
+        )
+        return agent_targets.LocalTarget(target, *found.address)
+
+
+class OperatorResource(resource.Resource):
+    """Serves operators, and the announcements of targets."""
+
+    isLeaf = True  # noqa: N815 (name given by Twisted)
+
+    def __init__(
+        self, reading: resource.Resource, announcing: resource.Resource
+    ):
+        super().__init__()
+        self.reading = reading
+        self.announcing = announcing
+
+    def render(self, request: Any) -> Any:
+        """Passes the request on by its method."""
+        changes = request.method in (b"PUT", b"DELETE")
+        if changes and request.path.startswith(b"/v1/targets/"):
+            return self.announcing.render(request)
+        return self.reading.render(request)
+
+
+def daemon_options(chosen: settings.Settings) -> options.DaemonOptions:
+    """Returns the options of the request path."""
+    return options.DaemonOptions(
+        instance=chosen.instance,
+        data_centre=chosen.data_centre,
+        edge=chosen.edge,
+        peer=chosen.peer,
+        stop_seconds=chosen.drain_seconds,
+    )
+
+
+class FleetAssembly:
+    """Builds membership, configuration, limits and health of one daemon.
+
+    Attributes:
+        options: Options of the request path.
+        metrics: Metrics of the instance.
+        tracer: Spans of the instance.
+        held: The configuration in force.
+    """
+
+    def __init__(self, reactor: Any, chosen: settings.Settings):
+        self.reactor = reactor
+        self.settings = chosen
+        self.options = daemon_options(chosen)
+        self.rng = random.Random(random.SystemRandom().getrandbits(64))
+        self.metrics = metrics.Metrics()
+        self.tracer = tracing.Tracer(chosen.instance, reactor.seconds)
+        self.http_store = client.HttpStore(reactor, chosen.store_url)
+        self.held = current.CurrentConfiguration()
+        self.started = time.time()
+
+    def build(self, calls: ports.PeerCalls) -> root.Fleet:
+        """Creates the parts; a `root.FleetBuilder`."""
+        self.calls = calls
+        self._build_membership()
+        self._build_configuration()
+        return self._fleet()
+
+    def _build_membership(self) -> None:
+        chosen = self.settings
+        now = self.reactor.seconds()
+        me = records.InstanceRecord(
+            chosen.instance,
+            self.options.incarnation,
+            1,
+            chosen.data_centre,
+            chosen.peer,
+            chosen.gossip,
+        )
+        self.gossip = gossip.Gossip(me, self.rng, now, chosen.seeds)
+        self.registry = announce.TargetRegistry(self.gossip, now)
+        self.membership = service.MembershipService(
+            self.reactor, self.gossip, self.calls, self.rng, self.registry
+        )
+        self.directory = self.membership.directory
+
+    def _build_configuration(self) -> None:
+        chosen = self.settings
+        self.store = outage.OutageStore(self.http_store, self.reactor, self.rng)
+        self.sync = sync.ConfigSync(
+            chosen.instance,
+            chosen.data_centre,
+            clock=self.reactor,
+            rng=self.rng,
+            store=self.store,
+            directory=self.directory,
+            broadcaster=self.membership.broadcaster,
+            calls=self.calls,
+            held=self.held,
+        )
+
+    def _fleet(self) -> root.Fleet:
+        chosen = self.settings
+        endpoints = supervisor.Listener(
+            "operators listener",
+            self.reactor,
+            chosen.operators,
+            self._operators_site(),
+            self.rng,
+        )
+        membership = supervisor.Step(
+            "membership", self.membership.start, self.membership.stop
+        )
+        configuration = supervisor.Step(
+            "configuration", self.sync.start, self.sync.stop
+        )
+        return root.Fleet(
+            directory=self.directory,
+            beside=RegisteredTargets(
+                self.registry, chosen.instance, chosen.data_centre
+            ),
+            configuration=self.configuration,
+            confirmed=lambda: self.sync.confirmed(self.reactor.seconds()),
+            announce_leaving=self.membership.leave,
+            before_links=[endpoints],
+            after_links=[membership, configuration],
+        )
+
+    def configuration(self) -> config_model.Configuration | None:
+        """Returns the configuration in force, or None before the first."""
+        return self.held.configuration if self.held.revision else None
+
+    def _operators_site(self) -> server.Site:
+        views = operators.Views(
+            ready=self._not_ready,
+            status=self._status,
+            instances=self._instances,
+            targets=self._targets,
+            accounts=self._accounts,
+        )
+        served = operators.OperatorEndpoints(views, self.metrics, self.tracer)
+        announcing = announce_http.resource(self.registry, self.reactor.seconds)
+        combined = OperatorResource(served.resource(), announcing)
+        return server.Site(combined)
+
+    # What operators see.
+
+    def _not_ready(self) -> str:
+        if not self.held.revision:
+            return "no configuration yet"
+        if not self.sync.confirmed(self.reactor.seconds()):
+            return "the configuration cannot be confirmed"
+        return ""
+
+    def _status(self) -> operators.Json:
+        now = self.reactor.seconds()
+        away = self.store.away_since
+        return {
+            "instance": self.settings.instance,
+            "data_centre": self.settings.data_centre,
+            "revision": self.held.revision,
+            "digest": self.held.digest,
+            "ready": not self._not_ready(),
+            "store_away_seconds": None if away is None else round(now - away),
+            "up_seconds": round(time.time() - self.started),
+        }
+
+    def _instances(self) -> list[operators.Json]:
+        return [
+            {
+                "id": info.id,
+                "data_centre": info.data_centre,
+                "incarnation": info.incarnation,
+                "alive": info.alive,
+                "leaving": info.leaving,
+            }
+            for info in self.directory.instances()
+        ]
+
+    def _targets(self) -> list[operators.Json]:
+        services = self.held.configuration.services
+        return [
+            {
+                "id": target.id,
+                "service": target.service,
+                "instance": target.instance,
+                "state": target.state.value,
+                "slots": target.slots,
+                "weight": target.weight,
+            }
+            for service in sorted(services)
+            for target in self.directory.targets(service)
+        ]
+
+    def _accounts(self) -> list[operators.Json]:
+        accounts = self.held.configuration.accounts
+        return [attrs.asdict(accounts[id]) for id in sorted(accounts)]
+
+
+def closing(assembly: FleetAssembly) -> "defer.Deferred[None]":
+    """Closes the connections to the store."""
+    return assembly.http_store.close()
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -3,46 +3,17 @@
 import argparse
 import pathlib
 import sys
-import tomllib
 from typing import Any
 
-import eliot
 from twisted.internet import reactor as default_reactor
 from twisted.python import failure
 
-from cicadafront import errors
-from cicadafront.daemon import local, options, root
+from cicadafront import errors, settings
+from cicadafront.daemon import assembly, root
+from cicadafront.telemetry import logs
 
-DEFAULT_HOST = "127.0.0.1"
-
-
-def _address(file: str, table: dict[str, Any], key: str) -> tuple[str, int]:
-    host, _, port = str(table.get(key, "")).rpartition(":")
-    if not port.isdigit():
-        raise errors.ConfigError(file, key, 'write "<host>:<port>"')
-    return host or DEFAULT_HOST, int(port)
-
-
-def read_options(path: pathlib.Path) -> options.DaemonOptions:
-    """Returns the options in a settings file.
-
-    Raises:
-        ConfigError: The file cannot be read or lacks a key.
-    """
-    file = path.name
-    try:
-        table = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as cause:
-        raise errors.ConfigError(file, "(file)", str(cause)) from cause
-    for key in ("instance", "data_centre"):
-        if not isinstance(table.get(key), str) or not table[key]:
-            raise errors.ConfigError(file, key, "write a name")
-    return options.DaemonOptions(
-        instance=table["instance"],
-        data_centre=table["data_centre"],
-        edge=_address(file, table, "edge"),
-        peer=_address(file, table, "peer"),
-    )
+EXIT_START_FAILED = 1
+EXIT_SETTINGS_INVALID = 2
 
 
 def run(daemon: root.Daemon, reactor: Any = default_reactor) -> int:
@@ -51,7 +22,7 @@
 
     def failed(reason: failure.Failure) -> None:
         print(reason.getErrorMessage(), file=sys.stderr)
-        status[0] = 1
+        status[0] = EXIT_START_FAILED
         reactor.stop()
 
     def start() -> None:
@@ -65,18 +36,26 @@
 
 def main(arguments: list[str] | None = None) -> int:
     """Runs `cicadafrontd`."""
-    parser = argparse.ArgumentParser(prog="cicadafrontd")
-    parser.add_argument("--settings", required=True, type=pathlib.Path)
+    parser = argparse.ArgumentParser(
+        prog="cicadafrontd",
+        description="Runs one instance of the proxy fleet.",
+        epilog="Exit codes: 0 stopped as asked, 1 start failed, 2 settings "
+        "invalid.",
+    )
+    parser.add_argument(
+        "--settings", required=True, type=pathlib.Path, help="TOML file"
+    )
     parsed = parser.parse_args(arguments)
     try:
-        settings = read_options(parsed.settings)
-    except errors.ConfigError as error:
+        chosen = settings.load(parsed.settings)
+    except errors.CicadafrontError as error:
         print(error.message, file=sys.stderr)
-        return 2
-    eliot.to_file(sys.stderr)
-    directory = local.StaticDirectory()
-    fleet = root.Fleet(directory, directory, lambda: None)
-    return run(root.Daemon(default_reactor, settings, fleet))
+        return EXIT_SETTINGS_INVALID
+    level = logs.Level[chosen.log_level.upper()]
+    logs.start(sys.stderr, chosen.instance, level)
+    built = assembly.FleetAssembly(default_reactor, chosen)
+    daemon = root.Daemon(default_reactor, built.options, built.build)
+    return run(daemon)
 
 
 if __name__ == "__main__":
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -39,6 +39,11 @@
         budget: Bounds retries.
         picker: Chooses targets; the least loaded of two without one.
         announce_leaving: Tells the fleet about a planned stop.
+        hand_over: Hands over what this instance owns, once its exchanges
+            have ended and while its links are still open.
+        before_links: Supervised parts that start before the peer listener.
+        after_links: Supervised parts that need the peer listener; they stop
+            while the links are still open.
     """
 
     directory: ports.Directory
@@ -53,6 +58,14 @@
     budget: policies.RetryBudget = attrs.field(factory=policies.ShareBudget)
     picker: policies.Picker | None = None
     announce_leaving: Callable[[], None] = lambda: None
+    hand_over: Callable[[], "defer.Deferred[None]"] = lambda: defer.succeed(
+        None
+    )
+    before_links: list[supervisor.Part] = attrs.field(factory=list)
+    after_links: list[supervisor.Part] = attrs.field(factory=list)
+
+
+FleetBuilder = Callable[[ports.PeerCalls], Fleet]
 
 
 class _PeerFactory(protocol.Factory):
@@ -80,15 +93,25 @@
         self,
         reactor: Any,
         settings: options.DaemonOptions,
-        fleet: Fleet,
+        build_fleet: FleetBuilder,
         rng: random.Random | None = None,
     ):
+        """Creates all parts.
+
+        Args:
+            reactor: Twisted reactor.
+            settings: Identity, addresses and limits.
+            build_fleet: Creates the parts that know the fleet; they may
+                register calls from peers, but make none before the start.
+            rng: Source of jitter and choices.
+        """
         self._reactor = reactor
         self._settings = settings
-        self._fleet = fleet
         self._rng = rng or random.Random()
         self._stopping: defer.Deferred[None] | None = None
         self.counts: collections.Counter[str] = collections.Counter()
+        self._build_peer()
+        self._fleet = fleet = build_fleet(self.calls)
         self.agent = agent.Agent(
             fleet.beside,
             fleet.slots,
@@ -96,7 +119,6 @@
             targets.TcpConnector(reactor),
             reactor,
         )
-        self._build_peer()
         self._build_edge()
         self._build_tree()
 
@@ -106,7 +128,7 @@
         hello = codec.Hello(
             settings.instance, settings.incarnation, link.PROTOCOL_VERSION
         )
-        opener = pool.Relay(settings.instance, self.agent, self._open_at)
+        opener = pool.Relay(settings.instance, self, self._open_at)
         services = link.Services(
             hello, opener, handlers, self._reactor, self.counts
         )
@@ -153,6 +175,8 @@
             self._rng,
         )
         self.tree = supervisor.Supervisor()
+        for part in self._fleet.before_links:
+            self.tree.add(part)
         self.tree.add(self._peer_port)
         self.tree.add(
             supervisor.Periodic(
@@ -163,6 +187,8 @@
                 self._rng,
             )
         )
+        for part in self._fleet.after_links:
+            self.tree.add(part)
         self.tree.add(self._edge_port)
 
     @property
@@ -179,6 +205,12 @@
         found = self._fleet.directory.instance(instance)
         return found.peer_address if found is not None else None
 
+    def open(
+        self, request: exchange.OpenRequest, response: exchange.ResponseSink
+    ) -> exchange.RequestSink:
+        """Starts an exchange at the agent of this instance."""
+        return self.agent.open(request, response)
+
     def _open_at(
         self,
         instance: str,
@@ -225,6 +257,7 @@
         self._edge.close_idle()
         yield self._until(began + settings.stop_seconds, self._finished)
         self._log_cut()
+        yield self._fleet.hand_over()
         yield self._close_links()
         yield self.tree.stop()
         supervisor.log("stopped.")
--- a/src/cicadafront/daemon/supervisor.py
+++ b/src/cicadafront/daemon/supervisor.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+import attrs
 import eliot
 from twisted.internet import defer, error, protocol
 from twisted.python import failure
@@ -18,13 +19,11 @@
 
 
 class Part(Protocol):
-    """A part of a daemon.
+    """A part of a daemon."""
 
-    Attributes:
-        name: Name in log messages.
-    """
-
-    name: str
+    @property
+    def name(self) -> str:
+        """Name in log messages."""
 
     def start(self) -> "defer.Deferred[None] | None":
         """Starts the part; fails or raises if it cannot run."""
@@ -33,6 +32,21 @@
         """Stops the part."""
 
 
+@attrs.frozen
+class Step:
+    """A part made of two functions.
+
+    Attributes:
+        name: Name in log messages.
+        start: Starts the part.
+        stop: Stops the part.
+    """
+
+    name: str
+    start: Callable[[], Any]
+    stop: Callable[[], Any]
+
+
 class Backoff:
     """Growing, jittered delays between restarts, in seconds."""
 
@@ -106,7 +120,7 @@
         name: str,
         reactor: Any,
         address: tuple[str, int],
-        factory: protocol.Factory,
+        factory: Any,
         rng: random.Random,
     ):
         self.name = name
--- /dev/null
+++ b/src/cicadafront/emulator/callers.py
@@ -0,0 +1,121 @@
+"""HTTP callers for the demo and the process tests."""
+
+import hashlib
+import json
+from typing import Any
+
+import attrs
+import treq
+from treq import client as treq_client
+from twisted.internet import defer
+from twisted.web import client as web_client
+
+from cicadafront.emulator import history
+
+
+@attrs.frozen
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status, or 0 if the answer broke off.
+        body: Body of the answer.
+        code: Error code of a problem, or the kind of the failure.
+        executed: "no" or "unknown" if the answer is a problem.
+        seconds: Time from the send to the end of the answer.
+    """
+
+    status: int
+    body: bytes
+    code: str
+    executed: str
+    seconds: float
+
+    @property
+    def good(self) -> bool:
+        """Whether the whole answer of a target arrived."""
+        return 200 <= self.status < 300
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of the body, in hex."""
+        return hashlib.sha256(self.body).hexdigest()
+
+    def json(self) -> dict[str, Any]:
+        """Returns the body as a JSON object."""
+        return json.loads(self.body)
+
+
+class Caller:
+    """Sends requests with one key; it neither retries nor redirects."""
+
+    def __init__(self, reactor: Any, token: str = "", timeout: float = 30.0):
+        pool = web_client.HTTPConnectionPool(reactor, persistent=False)
+        agent: Any = web_client.Agent(reactor, pool=pool, connectTimeout=5)
+        self._client = treq_client.HTTPClient(agent)
+        self._reactor = reactor
+        self._token = token
+        self._timeout = timeout
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        **headers: str,
+    ) -> Answer:
+        """Sends one request; underscores in header names become dashes."""
+        fields: dict[bytes | str, bytes | str] = {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        if self._token:
+            fields["Authorization"] = f"Bearer {self._token}"
+        start = self._reactor.seconds()
+        try:
+            response, content = await defer.ensureDeferred(
+                self._exchange(method, url, body, fields)
+            ).addTimeout(self._timeout, self._reactor)
+        except Exception as error:
+            # Twisted reports lost connections with many unrelated classes.
+            seconds = self._reactor.seconds() - start
+            return Answer(0, b"", type(error).__name__, "unknown", seconds)
+        seconds = self._reactor.seconds() - start
+        code, executed = "", ""
+        kind = response.headers.getRawHeaders("content-type", [""])[0]
+        if kind == "application/problem+json":
+            problem = json.loads(content)
+            code, executed = problem["code"], problem["executed"]
+        return Answer(response.code, content, code, executed, seconds)
+
+    async def _exchange(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None,
+        headers: dict[bytes | str, bytes | str],
+    ) -> tuple[Any, bytes]:
+        response = await self._client.request(
+            method, url, headers=headers, data=body, allow_redirects=False
+        )
+        return response, await treq.content(response)
+
+
+def as_call(
+    answer: Answer, request: str, send: str, account: str, repeatable: bool
+) -> history.Call:
+    """Returns the entry of an answer in a history."""
+    ending = history.Ending.WHOLE
+    if answer.status == 0:
+        ending = history.Ending.BROKEN
+    elif answer.executed:
+        ending = history.Ending.REFUSED
+    return history.Call(
+        request=request,
+        send=send,
+        account=account,
+        repeatable=repeatable,
+        ending=ending,
+        executed=answer.executed,
+        answer_digest=answer.digest,
+        code=answer.code,
+    )
--- a/src/cicadafront/telemetry/operators.py
+++ b/src/cicadafront/telemetry/operators.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from typing import Any, ClassVar
 
 import attrs
 import klein
@@ -47,54 +48,58 @@
         views: Functions that read the state of the daemon.
         metrics: Metrics of this instance.
         tracer: Spans of this instance.
-        app: The klein application; further parts add their routes to it.
     """
 
+    app: ClassVar[klein.Klein] = klein.Klein()
+
     views: Views
     metrics: metrics_module.Metrics
     tracer: tracing.Tracer
-    app: klein.Klein = attrs.field(factory=klein.Klein)
-
-    def __attrs_post_init__(self) -> None:
-        routes: dict[str, Callable[[server.Request], bytes]] = {
-            "/live": self.live,
-            "/ready": self.ready,
-            "/status": lambda r: _json(r, self.views.status()),
-            "/metrics": self.serve_metrics,
-            "/v1/instances": lambda r: self.items(r, self.views.instances),
-            "/v1/targets": lambda r: self.items(r, self.views.targets),
-            "/v1/accounts": lambda r: self.items(r, self.views.accounts),
-        }
-        for path, handler in routes.items():
-            self.app.route(path, methods=["GET"])(handler)
-        self.app.route("/v1/traces/<trace_id>", methods=["GET"])(self.trace)
 
+    @app.route("/live", methods=["GET"])
     def live(self, request: server.Request) -> bytes:
         """Answers 200 while the loop runs."""
         return _json(request, {"live": True})
 
+    @app.route("/ready", methods=["GET"])
     def ready(self, request: server.Request) -> bytes:
         """Answers 200 if the instance serves requests, else 503."""
         reason = self.views.ready()
         body = {"ready": not reason, "reason": reason}
         return _json(request, body, 503 if reason else 200)
 
+    @app.route("/status", methods=["GET"])
+    def status(self, request: server.Request) -> bytes:
+        """Serves the state of this instance."""
+        return _json(request, self.views.status())
+
+    @app.route("/metrics", methods=["GET"])
     def serve_metrics(self, request: server.Request) -> bytes:
         """Serves the metrics in Prometheus text form."""
         request.setHeader(b"content-type", b"text/plain; version=0.0.4")
         return self.metrics.text()
 
-    def items(
-        self, request: server.Request, read: Callable[[], list[Json]]
-    ) -> bytes:
-        """Serves a list of objects."""
-        return _json(request, {"items": read()})
+    @app.route("/v1/instances", methods=["GET"])
+    def instances(self, request: server.Request) -> bytes:
+        """Serves the known instances."""
+        return _json(request, {"items": self.views.instances()})
+
+    @app.route("/v1/targets", methods=["GET"])
+    def targets(self, request: server.Request) -> bytes:
+        """Serves the known targets."""
+        return _json(request, {"items": self.views.targets()})
+
+    @app.route("/v1/accounts", methods=["GET"])
+    def accounts(self, request: server.Request) -> bytes:
+        """Serves the client accounts."""
+        return _json(request, {"items": self.views.accounts()})
 
+    @app.route("/v1/traces/<trace_id>", methods=["GET"])
     def trace(self, request: server.Request, trace_id: str) -> bytes:
         """Serves the spans of one trace that this instance kept."""
         spans = [span.as_json() for span in self.tracer.trace(trace_id)]
-        return _json(request, {"items": spans})
+        return _json(request, {"items": spans}, 200 if spans else 404)
 
-    def site(self) -> server.Site:
-        """Returns the HTTP site to listen with."""
-        return server.Site(self.app.resource())
+    def resource(self) -> Any:
+        """Returns the web resource to serve."""
+        return self.app.resource()
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -79,7 +79,7 @@
     fleet = root.Fleet(
         control.directory, control.directory, lambda: control.configuration
     )
-    control.daemon = root.Daemon(reactor, settings, fleet)
+    control.daemon = root.Daemon(reactor, settings, lambda _: fleet)
     # Runs after the listeners are open, which `main.run` arranges first.
     reactor.callLater(0, lambda: stdio.StandardIO(control))
     return main.run(control.daemon)
