Test failures and planned stops over real sockets

Cause: link loss, short answers, deadlines, relays and SIGTERM had not been shown with real processes. A planned stop refused requests that were already waiting in the agent's queue.

Change: requests in the queue of a stopping agent still run; only new ones are refused, as not run.

--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -7,6 +7,13 @@
 from cicadafront.peer import exchange
 
 
+def no_new_work(target: str) -> errors.RequestError:
+    """Returns the refusal of work for a target."""
+    return errors.TargetLeavingError(
+        f"Target {target} takes no new work; try again.", retry_after=1.0
+    )
+
+
 class Agent:
     """Runs exchanges at local targets; an `exchange.Opener`.
 
@@ -37,6 +44,10 @@
     ) -> exchange.RequestSink:
         """Starts an exchange."""
         started = run.Run(self, request, response)
+        if not self.accepting:
+            # What waits in the queue since before the stop still runs.
+            started.refuse(no_new_work(request.target))
+            return started
         self.running.add(started)
         started.start()
         return started
@@ -54,9 +65,6 @@
                 f"Target {id} is not beside this instance; try again.",
                 retry_after=1.0,
             )
-        state = found.target.state
-        if state is not model.TargetState.SERVING or not self.accepting:
-            raise errors.TargetLeavingError(
-                f"Target {id} takes no new work; try again.", retry_after=1.0
-            )
+        if found.target.state is not model.TargetState.SERVING:
+            raise no_new_work(id)
         return found
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -77,13 +77,13 @@
         try:
             place = self._agent.place(self._request.target)
         except errors.RequestError as error:
-            self._refuse(error)
+            self.refuse(error)
             return
         self._entry = attrs.evolve(self._entry, slots=place.target.slots)
         self._timer = self._agent.clock.callLater(
             self._request.timeout, self._expire
         )
-        self._agent.slots.submit(self._entry, self._connect, self._refuse)
+        self._agent.slots.submit(self._entry, self._connect, self.refuse)
 
     # Request body, from the entry.
 
@@ -121,7 +121,7 @@
         try:
             place = self._agent.place(self._request.target)
         except errors.RequestError as error:
-            self._refuse(error)
+            self.refuse(error)
             return
         self._state = _State.CONNECTING
         if self._request.repeatable:
@@ -244,7 +244,8 @@
     def _is_late(self) -> bool:
         return self._agent.clock.seconds() >= self._deadline
 
-    def _refuse(self, error: errors.RequestError) -> None:
+    def refuse(self, error: errors.RequestError) -> None:
+        """Ends an exchange that was not handed over."""
         if self._state is not _State.DONE:
             self._close(observer.Cancelled())
             self._response.fail(error, self._load())
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -287,6 +287,17 @@
         site.receive(OK)
         self.assertEqual(waiting.events, [("target_leaving", "no")])
 
+    def test_stop_refuses_new_work_and_finishes_the_queue(self):
+        site = Site(slots=1)
+        ends = [site.open(repeatable=False)[1] for _ in range(2)]
+        site.agent.accepting = False
+        _, refused = site.open()
+        self.assertEqual(refused.events, [("target_leaving", "no")])
+        for end in ends:
+            site.receive(OK)
+            self.assertEqual(end.events, [200, b"ok", "end"])
+        self.assertEqual(site.agent.running, set())
+
     def test_unknown_target(self):
         site = Site()
         site.directory.beside.clear()
@@ -394,7 +405,3 @@
         site.connector.made[-1].makeConnection(transport)
         self.assertEqual(transport.value(), b"")
         self.assertTrue(transport.aborted)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -89,7 +89,3 @@
             got += len(piece)
         self.assertEqual(got, BODY_MB << 20)
         self._check_memory()
-
-
-if __name__ == "__main__":
-    unittest.main()
--- /dev/null
+++ b/tests/daemon/test_stop.py
@@ -0,0 +1,168 @@
+"""Planned stops and failed starts of daemon processes."""
+
+import collections
+import http.client
+import pathlib
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+from parameterized import parameterized
+
+from tests.support import fleet
+
+
+class Load:
+    """Callers that send requests one after another until told to stop."""
+
+    def __init__(self, daemon, callers=6):
+        self.results = collections.Counter()
+        self._daemon = daemon
+        self._stop = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run) for _ in range(callers)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def _run(self):
+        caller = http.client.HTTPConnection(fleet.HOST, self._daemon.edge)
+        while not self._stop.is_set():
+            try:
+                caller.request("POST", "/", b"x")
+                answer = caller.getresponse()
+                answer.read()
+                self.results[answer.status] += 1
+            except (http.client.HTTPException, OSError) as error:
+                self.results[type(error).__name__] += 1
+                caller.close()
+        caller.close()
+
+    def stop(self):
+        """Returns the number of requests by result."""
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        return self.results
+
+
+class StopTest(unittest.TestCase):
+    """Guards against planned stops that cut requests or never end."""
+
+    def _daemon(self, id, **options):
+        daemon = fleet.Daemon(id, **options)
+        self.addCleanup(daemon.kill)
+        return daemon
+
+    def _slow_target(self, seconds):
+        def script(connection):
+            while fleet.read_head(connection)[0]:
+                time.sleep(seconds)
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                )
+
+        target = fleet.Target(script)
+        self.addCleanup(target.close)
+        return target
+
+    @parameterized.expand([("entry", 0), ("agent", 1)])
+    def test_running_requests_are_finished(self, _name, stopped):
+        daemons = [
+            self._daemon(id, leave_seconds=0.2, stop_seconds=30)
+            for id in ("a", "b")
+        ]
+        target = self._slow_target(1.5)
+        fleet.fleet_of(daemons, {"t": target}, [fleet.route()])
+        callers = []
+        for _ in range(5):
+            caller = http.client.HTTPConnection(fleet.HOST, daemons[0].edge)
+            self.addCleanup(caller.close)
+            caller.request("POST", "/", b"x")
+            callers.append(caller)
+        time.sleep(0.3)
+        daemons[stopped].terminate()
+        answers = [caller.getresponse() for caller in callers]
+        # Three run at once in the slots of the target; two wait their turn.
+        self.assertEqual([answer.status for answer in answers], [200] * 5)
+        if not stopped:
+            self.assertEqual(answers[0].getheader("Connection"), "close")
+        self.assertEqual(daemons[stopped].wait(), 0)
+
+    def test_no_request_is_lost_while_an_agent_leaves(self):
+        entry, leaving, staying = daemons = [
+            self._daemon(id, leave_seconds=1.0) for id in ("a", "b", "c")
+        ]
+        targets = {id: self._slow_target(0.01) for id in ("t1", "t2")}
+        places = {"t1": "b", "t2": "c"}
+        routes = [fleet.route()]
+        fleet.fleet_of(daemons, targets, routes, slots=8, beside=places)
+        load = Load(entry)
+        time.sleep(0.5)
+        leaving.terminate()
+        # Stands for the announcement that reaches the entry by gossip.
+        entry.command(do="leave", target="t1")
+        self.assertEqual(leaving.wait(), 0)
+        time.sleep(0.3)
+        results = load.stop()
+        self.assertGreater(results[200], 100)
+        self.assertEqual(set(results), {200})
+
+    def test_limit_is_logged(self):
+        daemon = self._daemon("a", leave_seconds=0.1, stop_seconds=0.5)
+        target = self._slow_target(20)
+        fleet.fleet_of([daemon], {"t": target}, [fleet.route()])
+        caller = http.client.HTTPConnection(fleet.HOST, daemon.edge)
+        self.addCleanup(caller.close)
+        caller.request("POST", "/", b"x")
+        time.sleep(0.3)
+        daemon.terminate()
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            caller.getresponse()
+        self.assertEqual(daemon.wait(), 0)
+        log = "".join(daemon.log)
+        self.assertIn("the time limit cuts 1 exchanges of callers", log)
+
+
+class StartTest(unittest.TestCase):
+    """Guards against daemons that run in part or fail without a reason."""
+
+    def _run(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "settings.toml")
+            path.write_text(text)
+            command = "cicadafront.daemon.main"
+            return subprocess.run(
+                [sys.executable, "-m", command, "--settings", str(path)],
+                capture_output=True,
+                text=True,
+                timeout=30,
+                cwd=fleet.ROOT,
+                env={"PYTHONPATH": "src"},
+                check=False,
+            )
+
+    def test_port_in_use(self):
+        taken = fleet.Target(fleet.echo)
+        self.addCleanup(taken.close)
+        done = self._run(
+            'instance = "a"\ndata_centre = "dc"\npeer = "127.0.0.1:0"\n'
+            f'edge = "127.0.0.1:{taken.port}"\n'
+        )
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("daemon: edge listener did not start", done.stderr)
+
+    @parameterized.expand(
+        [
+            ("no name", 'data_centre = "dc"', "instance"),
+            ("no port", 'instance = "a"\ndata_centre = "dc"', "edge"),
+            ("no TOML", "instance", "settings.toml"),
+        ]
+    )
+    def test_settings(self, _name, text, expected):
+        done = self._run(text)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn(expected, done.stderr)
--- /dev/null
+++ b/tests/daemon/test_supervisor.py
@@ -0,0 +1,146 @@
+"""Tests of starting, restarting and stopping the parts of a daemon."""
+
+import random
+import unittest
+
+from twisted.internet import defer, error, protocol, task
+
+from cicadafront.daemon import supervisor
+
+SEED = 20261204
+
+
+class Part:
+    """A part that notes its calls."""
+
+    def __init__(self, name, log, problem=None):
+        self.name = name
+        self._log = log
+        self._problem = problem
+
+    def start(self):
+        self._log.append(f"start {self.name}")
+        if self._problem is not None:
+            raise self._problem
+
+    def stop(self):
+        self._log.append(f"stop {self.name}")
+
+
+class TreeTest(unittest.TestCase):
+    """Guards against a daemon that runs without one of its parts."""
+
+    def _tree(self, *parts):
+        tree = supervisor.Supervisor()
+        for part in parts:
+            tree.add(part)
+        return tree
+
+    def test_order(self):
+        log = []
+        tree = self._tree(Part("a", log), Part("b", log))
+        tree.start()
+        tree.stop()
+        self.assertEqual(log, ["start a", "start b", "stop b", "stop a"])
+
+    def test_failed_start(self):
+        log = []
+        broken = Part("b", log, OSError("no room"))
+        tree = self._tree(Part("a", log), broken, Part("c", log))
+        seen = []
+        tree.start().addErrback(lambda reason: seen.append(reason.value))
+        self.assertEqual(log, ["start a", "start b", "stop a"])
+        self.assertEqual(seen[0].message, "daemon: b did not start: no room")
+
+
+class Reactor(task.Clock):
+    """Opens ports that the test can break."""
+
+    def __init__(self):
+        super().__init__()
+        self.factories = []
+        self.taken = False
+
+    def listenTCP(self, port, factory, backlog, interface):  # noqa: N802
+        if self.taken:
+            raise error.CannotListenError(interface, port, OSError("taken"))
+        self.factories.append(factory)
+        factory.doStart()
+        return self
+
+    def getHost(self):  # noqa: N802
+        return self
+
+    @property
+    def port(self):
+        return 7
+
+    def stopListening(self):  # noqa: N802
+        self.factories[-1].doStop()
+
+
+class ListenerTest(unittest.TestCase):
+    """Guards against an instance that no longer accepts connections."""
+
+    def setUp(self):
+        self.reactor = Reactor()
+        self.listener = supervisor.Listener(
+            "listener",
+            self.reactor,
+            ("127.0.0.1", 0),
+            protocol.Factory(),
+            random.Random(SEED),
+        )
+        self.listener.start()
+
+    def test_lost_listener_is_opened_again(self):
+        self.reactor.taken = True
+        self.reactor.factories[-1].doStop()
+        self.reactor.advance(supervisor.Backoff.FIRST_SECONDS)
+        self.assertEqual(len(self.reactor.factories), 1)
+        self.reactor.taken = False
+        self.reactor.advance(2 * supervisor.Backoff.FIRST_SECONDS)
+        self.assertEqual(len(self.reactor.factories), 2)
+        self.assertEqual(self.listener.port, 7)
+
+    def test_stopped_listener_stays_closed(self):
+        self.listener.stop()
+        self.reactor.advance(60)
+        self.assertEqual(len(self.reactor.factories), 1)
+
+
+class PeriodicTest(unittest.TestCase):
+    """Guards against a periodic task that ends with its first failure."""
+
+    def _periodic(self, action):
+        clock = task.Clock()
+        rng = random.Random(SEED)
+        periodic = supervisor.Periodic("task", clock, 1.0, action, rng)
+        periodic.start()
+        return clock, periodic
+
+    def test_failures_delay_the_next_run(self):
+        runs = []
+
+        def action():
+            runs.append(clock.seconds())
+            if len(runs) < 10:
+                return defer.fail(OSError("x"))
+            return None
+
+        clock, periodic = self._periodic(action)
+        for _ in range(2000):
+            clock.advance(0.1)
+        gaps = [b - a for a, b in zip(runs, runs[1:], strict=False)]
+        self.assertGreater(len(runs), 20)
+        self.assertGreater(max(gaps), 10)
+        self.assertLessEqual(max(gaps), supervisor.Backoff.MOST_SECONDS)
+        self.assertAlmostEqual(gaps[-1], 1.0, delta=0.15)
+
+    def test_stop(self):
+        runs = []
+        clock, periodic = self._periodic(lambda: runs.append(1))
+        clock.advance(1)
+        periodic.stop()
+        clock.advance(10)
+        self.assertEqual(runs, [1])
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -377,7 +377,3 @@
         entry.fail(NO, "link_lost")
         instance, request, _, _ = entry.opener.opened[-1]
         self.assertEqual((instance, request.relay_to), ("i-t2", ""))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/edge/test_framing.py
+++ b/tests/edge/test_framing.py
@@ -141,7 +141,3 @@
         fields = edge.request.head.headers
         self.assertIn((b"Transfer-Encoding", b"chunked"), fields)
         self.assertNotIn(b"X-Trailer", dict(fields))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -242,7 +242,3 @@
             edge.clock.advance(CLOSE_SECONDS)
         self.assertTrue(edge.transport.closed)
         self.assertEqual(edge.site.handler.running, set())
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -355,7 +355,3 @@
         size = struct.pack("!I", link.MAX_FRAME_BYTES + 1)
         pair.client.dataReceived(size)
         self.assertTrue(pair.client.closed)
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/peer/test_pool.py
+++ b/tests/peer/test_pool.py
@@ -177,7 +177,3 @@
         self.assertEqual((len(local), len(further)), (0, 1))
         instance, request, _, _ = further[0]
         self.assertEqual((instance, request.relay_to), ("there", ""))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/tests/support/edge.py
+++ b/tests/support/edge.py
@@ -29,13 +29,11 @@
         self.connection.makeConnection(self.transport)
 
     def receive(self, *pieces):
-        """Takes bytes of the caller and returns what is written."""
         for piece in pieces:
             self.connection.dataReceived(piece)
         return self.transport.take()
 
     def answer(self, status=200, fields=(), body=b"", index=-1):
-        """Answers the last request and returns what is written."""
         _, _, response, _ = self.opener.opened[index]
         response.head(model.ResponseHead(status, fields), exchange.Load())
         if body:
@@ -45,12 +43,10 @@
 
     @property
     def request(self):
-        """The last request that went to a target."""
         return self.opener.opened[-1][1]
 
     @property
     def sink(self):
-        """Takes the body of the last request."""
         return self.opener.opened[-1][3]
 
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,6 +1,7 @@
 """Daemons in processes of their own, and scripted targets, for tests."""
 
 import contextlib
+import http.client
 import json
 import os
 import pathlib
@@ -50,33 +51,27 @@
             self.log.append(line)
 
     def command(self, **command: Any) -> dict[str, Any]:
-        """Runs a command in the process and returns its answer."""
         self.process.stdin.write(json.dumps(command) + "\n")
         self.process.stdin.flush()
         return json.loads(self.process.stdout.readline())
 
     def counts(self) -> dict[str, int]:
-        """Returns the counters of the daemon."""
         return self.command(do="counts")["counts"]
 
     def peak_mb(self) -> float:
-        """Returns the largest resident size so far."""
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
         return int(line.split()[1]) / 1024
 
     def terminate(self) -> None:
-        """Starts a planned stop."""
         self.process.send_signal(signal.SIGTERM)
 
     def wait(self, timeout: float = CALL_SECONDS) -> int:
-        """Waits for the end and returns the exit status."""
         status = self.process.wait(timeout)
         self._reader.join(5)
         return status
 
     def kill(self) -> None:
-        """Ends the process at once."""
         if self.process.poll() is None:
             self.process.kill()
             self.process.wait()
@@ -115,12 +110,23 @@
             self._script(connection)
 
     def close(self) -> None:
-        """Accepts no further connections."""
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
 
+def problem_of(answer: http.client.HTTPResponse) -> tuple[int, str, str]:
+    """Returns status, code and `executed` of an error answer."""
+    fields = json.loads(answer.read())
+    return answer.status, fields["code"], fields["executed"]
+
+
+def unused_port() -> int:
+    """Returns a port that refuses connections."""
+    with socket.create_server((HOST, 0)) as probe:
+        return probe.getsockname()[1]
+
+
 def read_head(connection: socket.socket) -> tuple[str, dict[str, str], bytes]:
     """Reads a head; returns first line, fields and what follows."""
     data = b""
@@ -157,6 +163,7 @@
     routes: list[dict[str, Any]],
     slots: int = 3,
     beside: dict[str, str] | None = None,
+    detours: dict[tuple[str, str], int] | None = None,
 ) -> None:
     """Tells all daemons about each other, the targets and the routes.
 
@@ -166,9 +173,11 @@
         routes: Fields of the routes.
         slots: Slots of each target.
         beside: Instance by target id; the last daemon without an entry.
+        detours: Ports that one instance wrongly believes to be the peer port
+            of another, by the ids of the two.
     """
     places = beside or {}
-    instances = [{"id": d.instance, "peer": d.peer} for d in daemons]
+    wrong = detours or {}
     entries = [
         {
             "id": id,
@@ -180,6 +189,15 @@
         for id, target in targets.items()
     ]
     for daemon in daemons:
+        instances = [
+            {
+                "id": other.instance,
+                "peer": wrong.get(
+                    (daemon.instance, other.instance), other.peer
+                ),
+            }
+            for other in daemons
+        ]
         daemon.command(
             do="configure", instances=instances, targets=entries, routes=routes
         )
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -28,11 +28,9 @@
 
     @property
     def closed(self) -> bool:
-        """Whether this side has ended the connection in any way."""
         return self.half_closed or self.aborted or self.disconnecting
 
     def take(self) -> bytes:
-        """Returns and forgets what was written."""
         data = self.value()
         self.clear()
         return data
@@ -48,28 +46,22 @@
         self.error: errors.RequestError | None = None
 
     def wants_body(self) -> None:
-        """Notes the wish for the body."""
         self.asked = True
 
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
-        """Notes the status."""
         self.events.append(head.status)
 
     def body(self, data: bytes) -> None:
-        """Notes a piece."""
         self.events.append(data)
 
     def end(self) -> None:
-        """Notes the end."""
         self.events.append("end")
 
     def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
-        """Notes the error."""
         self.error = error
         self.events.append((error.code, error.executed.value))
 
     def consumed(self, count: int) -> None:
-        """Counts bytes passed on."""
         self.taken += count
 
 
@@ -83,19 +75,15 @@
         self.granted = 0
 
     def body(self, data: bytes) -> None:
-        """Notes a piece."""
         self.data += data
 
     def end(self) -> None:
-        """Notes the end."""
         self.ended = True
 
     def cancel(self) -> None:
-        """Notes the cancellation."""
         self.cancelled = True
 
     def consumed(self, count: int) -> None:
-        """Counts answer bytes passed on."""
         self.granted += count
 
 
@@ -117,7 +105,6 @@
         request: exchange.OpenRequest,
         response: exchange.ResponseSink,
     ) -> Request:
-        """Notes an exchange."""
         sink = Request()
         self.opened.append((instance, request, response, sink))
         if self.refusals:
@@ -127,7 +114,6 @@
     def open(
         self, request: exchange.OpenRequest, response: exchange.ResponseSink
     ) -> Request:
-        """Notes an exchange of the only instance."""
         return self.open_at("", request, response)
 
 
@@ -141,12 +127,10 @@
     def pick(
         self, service: str, exclude: frozenset[str], now: float
     ) -> model.Target | None:
-        """Returns the first target that is not excluded."""
         left = (x for x in self.targets if x.id not in exclude)
         return next(left, None)
 
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
-        """Notes the load."""
         self.loads[target_id] = load
 
 
@@ -160,7 +144,6 @@
     def admit(
         self, account: config_model.ClientAccount
     ) -> "defer.Deferred[None]":
-        """Returns a Deferred that the test may hold back."""
         result: defer.Deferred[None] = defer.Deferred()
         self.waiting.append(result)
         if not self.hold:
@@ -176,17 +159,14 @@
         self.endings: list[str] = []
 
     def finish(self, ticket: ports.Ticket, outcome: ports.Outcome) -> None:
-        """Notes a finished ticket."""
         self.endings.append("finish")
         super().finish(ticket, outcome)
 
     def release(self, ticket: ports.Ticket) -> None:
-        """Notes a released ticket."""
         self.endings.append("release")
         super().release(ticket)
 
     def abandon(self, ticket: ports.Ticket) -> None:
-        """Notes an abandoned ticket."""
         self.endings.append("abandon")
         super().abandon(ticket)
 
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -1,13 +1,16 @@
 """Runs one daemon for tests that need processes of their own.
 
 The options come as JSON on the command line. Each line on standard input is a
-JSON command: `configure` sets the fleet, `counts` prints the counters.
+JSON command: `configure` sets the fleet, `leave` marks a target as leaving,
+`counts` does nothing. The answer to each holds the counters.
 """
 
 import json
 import sys
 from typing import Any
 
+import attrs
+import eliot
 from twisted.internet import reactor, stdio
 from twisted.protocols import basic
 
@@ -41,9 +44,15 @@
         command = json.loads(line)
         if command["do"] == "configure":
             self._configure(command)
+        if command["do"] == "leave":
+            self._leave(command["target"])
         answer = {"counts": dict(self.daemon.counts)}
         print(json.dumps(answer), flush=True)
 
+    def _leave(self, id: str) -> None:
+        known = self.directory.known_targets
+        known[id] = attrs.evolve(known[id], state=model.TargetState.LEAVING)
+
     def _configure(self, command: dict[str, Any]) -> None:
         for item in command["instances"]:
             info = ports.InstanceInfo(item["id"], 1, "dc", (HOST, item["peer"]))
@@ -57,7 +66,10 @@
                 self.directory.beside[target.id] = targets.LocalTarget(
                     target, HOST, item["port"]
                 )
-        routes = [config_model.Route(**item) for item in command["routes"]]
+        routes = []
+        for item in command["routes"]:
+            methods = frozenset(item.pop("methods", ()))
+            routes.append(config_model.Route(**item, methods=methods))
         digest = config_model.secret_digest("secret")
         self.configuration = config_model.Configuration(
             accounts={"amani": config_model.ClientAccount("amani", 10, 20)},
@@ -75,6 +87,7 @@
         peer=(HOST, given.pop("peer", 0)),
         **given,
     )
+    eliot.to_file(sys.stderr)
     control = Control(settings.instance)
     fleet = root.Fleet(
         control.directory, control.directory, lambda: control.configuration
