Measure the control traffic of the membership

Cause: the control traffic of an instance must stay below 2 KB/s, 4.9% of a core and 256 MB at 1,300 instances.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module runs with `python -m bench.<name>`."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,145 @@
+"""Simulated fleet whose instances are replaced and fail."""
+
+import functools
+import itertools
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+
+from cicadafront import model
+from cicadafront.membership import gossip, outbox, records
+from tests.membership import network
+
+TARGETS = 12
+SERVICES = 880
+DRAIN_SECONDS = 10.0
+START_SECONDS = 5.0
+Row = dict[str, float]
+
+
+@attrs.define
+class Meter:
+    """CPU time spent in the gossip cores."""
+
+    seconds: float = 0.0
+
+    def wrap(self, function: Callable) -> Callable:
+        """Returns the function with its CPU time added up."""
+
+        def timed(*args):
+            start = time.process_time()
+            try:
+                return function(*args)
+            finally:
+                self.seconds += time.process_time() - start
+
+        return timed
+
+
+class Fleet:
+    """Instances with targets that are replaced and fail."""
+
+    def __init__(self, size: int, seed: int):
+        conditions = network.Conditions(loss=0.001)
+        self.net = network.Network(seed, conditions)
+        self.meter = Meter()
+        self.rng = random.Random(seed)
+        self._ended = outbox.Counters()
+        self._names = itertools.count(size)
+        nodes = self.net.fleet(size)
+        for node in nodes:
+            self._announce(node, model.TargetState.SERVING)
+        known = [r for node in nodes for r in node.held(node.me.id)]
+        for node in nodes:
+            node.load(0.0, known)
+            self._measure(node)
+
+    def _measure(self, node: gossip.Gossip) -> None:
+        node.tick = self.meter.wrap(node.tick)  # type: ignore[method-assign]
+        node.receive = self.meter.wrap(  # type: ignore[method-assign]
+            node.receive
+        )
+
+    def _announce(self, node: gossip.Gossip, state: model.TargetState) -> None:
+        place = int(node.me.id[1:])
+        for number in range(TARGETS):
+            service = f"svc-{(place * TARGETS + number) % SERVICES}"
+            record = records.TargetRecord(
+                f"{node.me.id}-t{number:02d}",
+                service,
+                (node.me.peer_address[0], 8000 + number),
+                3,
+                state=state,
+            )
+            node.announce_target(self.net.now, record)
+
+    def choose(self) -> str:
+        """Returns a random running instance that is not leaving."""
+        ids = [id for id, n in self.net.nodes.items() if not n.me.leaving]
+        return self.rng.choice(ids)
+
+    def replace(self) -> None:
+        """Stops an instance as planned and starts another one."""
+        old = self.choose()
+        self.net.nodes[old].leave(self.net.now)
+        self.net.at(self.net.now + DRAIN_SECONDS, lambda: self._end(old))
+        self.add()
+
+    def _end(self, id: str) -> None:
+        node = self.net.nodes[id]
+        self.net.send(id, node.depart(self.net.now))
+        self.stop(id)
+
+    def fail(self) -> None:
+        """Ends an instance without notice and starts another one."""
+        self.stop(self.choose())
+        self.add()
+
+    def add(self) -> None:
+        """Starts an instance; its first state comes from a peer."""
+        peer = self.net.nodes[self.choose()]
+        node = self.net.start(f"i{next(self._names):04d}")
+        self._measure(node)
+        known = [r for record in peer.instances() for r in peer.held(record.id)]
+        node.load(self.net.now, known)
+        self._announce(node, model.TargetState.STARTING)
+
+        def serve() -> None:
+            self._announce(node, model.TargetState.SERVING)
+
+        self.net.at(self.net.now + START_SECONDS, serve)
+
+    def stop(self, id: str) -> None:
+        """Ends an instance, and keeps its counters for the totals."""
+        self._ended = added(self._ended, self.net.nodes[id].counters)
+        self.net.stop(id)
+
+    def totals(self) -> outbox.Counters:
+        """Returns the summed counters of all instances ever started."""
+        counted = [node.counters for node in self.net.nodes.values()]
+        return functools.reduce(added, counted, self._ended)
+
+    def run(self, seconds: float) -> Row:
+        """Lets time pass and returns means per instance."""
+        before = self.totals()
+        self.meter.seconds = 0.0
+        self.net.run(seconds)
+        after = self.totals()
+        share = len(self.net.nodes) * seconds
+        sent = after.sent_bytes - before.sent_bytes
+        received = after.received_bytes - before.received_bytes
+        datagrams = after.sent_datagrams - before.sent_datagrams
+        return {
+            "sent_bytes_per_second": sent / share,
+            "received_bytes_per_second": received / share,
+            "datagrams_per_second": datagrams / share,
+            "cpu_percent": 100 * self.meter.seconds / share,
+        }
+
+
+def added(one: outbox.Counters, other: outbox.Counters) -> outbox.Counters:
+    """Returns the sums of two sets of counters."""
+    pairs = zip(attrs.astuple(one), attrs.astuple(other), strict=True)
+    return outbox.Counters(*(a + b for a, b in pairs))
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -1,14 +1,13 @@
 """Tests of the Twisted integration, the state transfer and the directory."""
 
 import random
-import socket
 import unittest
 
 import attrs
 from parameterized import parameterized
-from twisted.internet import defer, selectreactor, task
+from twisted.internet import selectreactor, task
 
-from cicadafront import errors, model
+from cicadafront import model
 from cicadafront.membership import (
     announce,
     codec,
@@ -18,32 +17,7 @@
     transfer,
     view,
 )
-
-
-class Calls:
-    """Stands in for the peer calls of one instance."""
-
-    def __init__(self, id, fleet):
-        self.id = id
-        self.fleet = fleet
-        self.handlers = {}
-        self.broken = set()
-        self.sizes = []
-        fleet[id] = self
-
-    def register(self, method, handler):
-        self.handlers[method] = handler
-
-    def call(self, instance, method, body, timeout):
-        if instance in self.broken:
-            return defer.fail(errors.CallFailedError("The link is broken."))
-        peer = self.fleet[instance]
-        answer = defer.maybeDeferred(peer.handlers[method], self.id, body)
-        return answer.addCallback(self._note)
-
-    def _note(self, body):
-        self.sizes.append(len(body))
-        return body
+from tests.membership import peers
 
 
 class UdpClock(task.Clock):
@@ -97,7 +71,7 @@
         me = attrs.evolve(me, gossip_address=("127.0.0.1", port))
     core = gossip.Gossip(me, rng, now, seeds)
     registry = announce.TargetRegistry(core, now)
-    calls = Calls(id, fleet)
+    calls = peers.Calls(id, fleet)
     made = service.MembershipService(reactor, core, calls, rng, registry)
     return made, core, registry, calls
 
@@ -107,13 +81,6 @@
     return announce.LocalTarget(id, "ledger", ("127.0.0.1", 9000), 3)
 
 
-def free_port() -> int:
-    """Returns a UDP port that no process uses."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class ServiceTest(unittest.TestCase):
     """Guards against instances that do not find the fleet."""
 
@@ -235,7 +202,7 @@
     def test_two_instances_on_real_sockets(self):
         reactor = selectreactor.SelectReactor()
         fleet = {}
-        ports = free_port(), free_port()
+        ports = peers.free_port(), peers.free_port()
         first, _, registry, _ = build(reactor, fleet, 0, [], ports[0])
         seed = ("127.0.0.1", ports[0])
         second, core, _, _ = build(reactor, fleet, 1, [seed], ports[1])
