--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements on real sockets."""
+"""Benchmarks and measurements of the decisions and of the request path."""
