Name the simulated gossip fleet after its job

Cause: two measurements each bring a module called fleet. Change: bench/fleet.py of the control traffic is now bench/gossip_fleet.py. Conclusion: both measurements can be kept.

--- a/bench/control.py
+++ b/bench/control.py
@@ -19,7 +19,7 @@
 import attrs
 from twisted.internet import selectreactor
 
-from bench import fleet
+from bench import gossip_fleet
 from cicadafront.membership import (
     codec,
     gossip,
@@ -48,7 +48,9 @@
 LIMITS = {"bytes_per_second": 2048, "cpu_percent": 4.9, "memory_mb": 256}
 
 
-def measure_traffic(simulated: fleet.Fleet) -> dict[str, fleet.Row]:
+def measure_traffic(
+    simulated: gossip_fleet.Fleet,
+) -> dict[str, gossip_fleet.Row]:
     """Measures the quiet fleet, and what one join costs each instance."""
     size = len(simulated.net.nodes)
     quiet = simulated.run(NODE_SECONDS / size)
@@ -75,7 +77,7 @@
     return rows
 
 
-def measure_spread(simulated: fleet.Fleet) -> fleet.Row:
+def measure_spread(simulated: gossip_fleet.Fleet) -> gossip_fleet.Row:
     """Measures how long an urgent broadcast takes to reach all."""
     net = simulated.net
     arrivals: list[float] = []
@@ -100,7 +102,7 @@
     }
 
 
-def measure_detection(simulated: fleet.Fleet) -> fleet.Row:
+def measure_detection(simulated: gossip_fleet.Fleet) -> gossip_fleet.Row:
     """Measures how long crashes take to be known everywhere."""
     net = simulated.net
     times = []
@@ -122,7 +124,7 @@
     }
 
 
-def measure_service(seed: int) -> fleet.Row:
+def measure_service(seed: int) -> gossip_fleet.Row:
     """Measures two daemons' membership on real sockets."""
     reactor = selectreactor.SelectReactor()
     addresses = [("127.0.0.1", peers.free_port()) for _ in range(2)]
@@ -147,7 +149,7 @@
     return {"cpu_percent": 100 * used / SERVICE_SECONDS / len(services)}
 
 
-def measure_memory() -> fleet.Row:
+def measure_memory() -> gossip_fleet.Row:
     """Measures the memory of one instance at the target size."""
     address = ("10.0.0.1", 7002)
     me = records.InstanceRecord("me", 1, 1, "dar-a", address, address)
@@ -166,13 +168,13 @@
     directory = view.GossipDirectory(core)
     for data in pages:
         core.load(0.0, codec.decode_page(data, 0.0)[0])
-    for number in range(fleet.SERVICES):
+    for number in range(gossip_fleet.SERVICES):
         directory.targets(f"svc-{number}")
     directory.instances()
     gc.collect()
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    count = TARGET_SIZE * (1 + fleet.TARGETS)
+    count = TARGET_SIZE * (1 + gossip_fleet.TARGETS)
     size = sum(map(len, pages))
     joins = JOINS_PER_DAY / DAY_SECONDS
     return {
@@ -200,14 +202,14 @@
         items += [
             records.TargetRecord(
                 f"{owner}-t{n:02d}",
-                f"svc-{(number * fleet.TARGETS + n) % fleet.SERVICES}",
+                f"svc-{(number * gossip_fleet.TARGETS + n) % gossip_fleet.SERVICES}",
                 ("", 8000 + n),
                 3,
                 owner,
                 1,
                 2 + n,
             )
-            for n in range(fleet.TARGETS)
+            for n in range(gossip_fleet.TARGETS)
         ]
     return items
 
@@ -218,7 +220,7 @@
     return fit.slope, fit.intercept + fit.slope * TARGET_SIZE
 
 
-def print_rows(title: str, rows: dict[int, fleet.Row]) -> None:
+def print_rows(title: str, rows: dict[int, gossip_fleet.Row]) -> None:
     """Prints figures by size with slope and extrapolation."""
     print(f"\n{title}")
     sizes = "".join(f"{size:>11}" for size in rows)
@@ -232,9 +234,9 @@
         print(f"{name:28}{line}")
 
 
-def measure(size: int, seed: int) -> dict[str, fleet.Row]:
+def measure(size: int, seed: int) -> dict[str, gossip_fleet.Row]:
     """Runs all measurements of one size."""
-    simulated = fleet.Fleet(size, seed)
+    simulated = gossip_fleet.Fleet(size, seed)
     simulated.net.run(WARM_UP_SECONDS)
     rows = measure_traffic(simulated)
     rows["spread of a broadcast"] = measure_spread(simulated)
