Add shard ownership by store lease and deputy

Cause: rates, idempotency records and permits need one authority per shard, also while the store is away and after the loss of an owner. Change: the pure core (Ownership, with an Automat machine per shard) and its Twisted glue. The claim is a durable key and the lease has a key of its own, because a claim deleted with its lease would lose deputy, epoch and journals. A compare-and-swap without an answer blocks promises until the version moves. A deputy claims at once when the owner's process has certainly ended.

--- /dev/null
+++ b/src/cicadafront/limits/calls.py
@@ -0,0 +1,194 @@
+"""Calls to the owner of a shard, and what all parts here share with Twisted."""
+
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from twisted.internet import defer
+from twisted.python import failure
+
+from cicadafront import errors, ports
+from cicadafront.limits import shards
+
+RETRY_SECONDS = (0.05, 0.15)
+# A call to an owner is tried elsewhere after this long without an answer.
+CALL_SECONDS = 0.5
+
+
+class Timer(Protocol):
+    """Clock and delayed calls."""
+
+    def seconds(self) -> float:
+        """Returns the time; it never steps and counts while suspended."""
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., object], *args: object
+    ) -> Any:
+        """Calls later; the result has `cancel` and `active`."""
+
+
+class ReactorTimer:
+    """Timer over a reactor with a clock that counts while suspended.
+
+    The reactor's own clock may step with the wall clock, and the monotonic
+    clock stands still while a virtual machine is suspended; an owner that
+    was suspended would then act on a confirmation that has long ended.
+    """
+
+    def __init__(self, reactor: Any):
+        self._reactor = reactor
+        self._clock = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+    def seconds(self) -> float:
+        """Returns seconds since the machine started."""
+        return time.clock_gettime(self._clock)
+
+    def callLater(  # noqa: N802
+        self, delay: float, callable: Callable[..., object], *args: object
+    ) -> Any:
+        """Calls later through the reactor."""
+        return self._reactor.callLater(delay, callable, *args)
+
+
+def pack(data: object) -> bytes:
+    """Encodes the body of a call."""
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def unpack(body: bytes) -> Any:
+    """Decodes the body of a call."""
+    return json.loads(body)
+
+
+def bounded(
+    deferred: "defer.Deferred[Any]", timer: Timer, seconds: float
+) -> "defer.Deferred[Any]":
+    """Fails a Deferred with `TimeoutError` after some seconds."""
+    return deferred.addTimeout(seconds, timer)  # type: ignore[arg-type]
+
+
+def pause(timer: Timer, seconds: float) -> "defer.Deferred[None]":
+    """Returns a Deferred that fires later."""
+    waiting: defer.Deferred[None] = defer.Deferred()
+    timer.callLater(seconds, waiting.callback, None)
+    return waiting
+
+
+def ignore(_reason: failure.Failure) -> None:
+    """Drops a failure whose effect is repaired elsewhere."""
+
+
+class OwnerCalls:
+    """Finds the owner of a shard and calls it.
+
+    A reply `{"owner": id}` redirects; an instance learns owners from these
+    replies and needs no store call.
+
+    Attributes:
+        me: Id of this instance.
+        known: Owners learned so far, by shard.
+    """
+
+    def __init__(
+        self,
+        me: str,
+        directory: ports.Directory,
+        peers: ports.PeerCalls,
+        timer: Timer,
+        rng: random.Random,
+    ):
+        self.me = me
+        self.known: dict[int, str] = {}
+        self._directory = directory
+        self._peers = peers
+        self._timer = timer
+        self._rng = rng
+        self._candidates: list[ports.InstanceInfo] | None = None
+        directory.on_change(self._forget_candidates)
+
+    def _forget_candidates(self) -> None:
+        self._candidates = None
+
+    def likely(self, shard: int) -> list[str]:
+        """Returns the candidates that most likely own a shard."""
+        if self._candidates is None:
+            self._candidates = shards.candidates(self._directory.instances())
+        return [info.id for info in shards.ranked(shard, self._candidates)[:3]]
+
+    @defer.inlineCallbacks
+    def call(
+        self,
+        shard: int,
+        method: str,
+        body: dict,
+        timeout: float,
+        each: float = CALL_SECONDS,
+    ):
+        """Calls the owner, following redirects until it answers.
+
+        Args:
+            shard: Number of the shard.
+            method: Method of the call.
+            body: JSON object; `sent_ago` is not added.
+            timeout: Seconds until the whole attempt fails.
+            each: Seconds to wait for one instance.
+
+        Returns:
+            The reply and the time at which the answered call was sent.
+
+        Raises:
+            CallFailedError: No owner answered in time.
+        """
+        end = self._timer.seconds() + timeout
+        packed = pack(body)
+        tried = 0
+        while True:
+            sent = self._timer.seconds()
+            if sent >= end:
+                raise errors.CallFailedError(
+                    f"no owner of shard {shard} answered {method}"
+                )
+            target = self._target(shard, tried)
+            tried += 1
+            reply = None
+            if target is not None:
+                reply = yield self._once(
+                    target, method, packed, min(each, end - sent)
+                )
+            if target and reply is not None and "owner" not in reply:
+                self.known[shard] = target
+                return reply, sent
+            if self._redirected(shard, target, reply):
+                continue
+            yield pause(self._timer, self._rng.uniform(*RETRY_SECONDS))
+
+    def _target(self, shard: int, tried: int) -> str | None:
+        known = self.known.get(shard)
+        if known is not None:
+            return known
+        likely = self.likely(shard)
+        return likely[tried % len(likely)] if likely else None
+
+    def _redirected(
+        self, shard: int, target: str | None, reply: dict | None
+    ) -> bool:
+        self.known.pop(shard, None)
+        owner = reply.get("owner") if reply is not None else None
+        if owner is None or owner == target:
+            return False
+        self.known[shard] = owner
+        return True
+
+    @defer.inlineCallbacks
+    def _once(self, target: str, method: str, body: bytes, timeout: float):
+        try:
+            answer = yield bounded(
+                self._peers.call(target, method, body, timeout),
+                self._timer,
+                timeout,
+            )
+        except (errors.CicadafrontError, TimeoutError, defer.TimeoutError):
+            return None
+        return unpack(answer)
--- /dev/null
+++ b/src/cicadafront/limits/decisions.py
@@ -0,0 +1,234 @@
+"""Rules for who may claim a shard and who becomes its deputy."""
+
+import math
+from collections.abc import Collection, Iterable
+
+import attrs
+
+from cicadafront import ports
+from cicadafront.limits import claims, gone, shard, shards
+from cicadafront.limits.shard import Kind, Pending, Shard
+
+DEPUTY_DEAD_SECONDS = 5.0
+# Credit of a dead owner ends this long after the proof of its death: the
+# lifetime of a grant and 2% for clocks that differ.
+GRANT_TAIL_SECONDS = 2.05
+# A shard moves to the candidate that ranks first once it has done so this long.
+REBALANCE_SECONDS = 30.0
+# Journals of former owners are read for as long as records live, plus an hour
+# for wall clocks that differ.
+JOURNAL_SECONDS = 25 * 3600.0
+
+
+class Fleet:
+    """The fleet as this process sees it.
+
+    Attributes:
+        me: This process.
+        gone: Processes that have certainly ended.
+        candidates: Instances that may own shards.
+    """
+
+    def __init__(self, me: claims.Member, data_centre: str, unix_offset: float):
+        self.me = me
+        self.gone = gone.Processes()
+        self.candidates: list[ports.InstanceInfo] = []
+        self._data_centre = data_centre
+        self._unix_offset = unix_offset
+        self._instances: dict[str, ports.InstanceInfo] = {}
+        self._dead_since: dict[tuple[str, int], float] = {}
+        self._order: dict[int, list[ports.InstanceInfo]] = {}
+
+    def update(
+        self, now: float, instances: Iterable[ports.InstanceInfo]
+    ) -> bool:
+        """Takes the directory; tells whether the candidates changed."""
+        self._instances = {info.id: info for info in instances}
+        before = [info.id for info in self.candidates]
+        self.candidates = shards.candidates(self._instances.values())
+        self._order.clear()
+        for info in self._instances.values():
+            self.gone.seen(info)
+        return before != [info.id for info in self.candidates]
+
+    def unix(self, now: float) -> float:
+        """Converts a time of this process's clock to Unix time."""
+        return now + self._unix_offset
+
+    def is_candidate(self, instance: str) -> bool:
+        """Tells whether an instance may own shards."""
+        return any(info.id == instance for info in self.candidates)
+
+    def alive(self, member: claims.Member) -> bool:
+        """Tells whether a process is believed to run."""
+        info = self._instances.get(member.id)
+        if info is None or info.incarnation != member.incarnation:
+            return False
+        return info.alive and not info.leaving
+
+    def dead_for(self, now: float, member: claims.Member) -> float:
+        """Returns for how many seconds a process has been believed dead."""
+        if self.alive(member):
+            self._dead_since.pop(member.process, None)
+            return 0.0
+        return now - self._dead_since.setdefault(member.process, now)
+
+    def first(
+        self, number: int, without: Collection[str] = ()
+    ) -> ports.InstanceInfo | None:
+        """Returns the candidate that ranks first for a shard."""
+        if number not in self._order:
+            self._order[number] = shards.ranked(number, self.candidates)
+        for info in self._order[number]:
+            if info.id not in without:
+                return info
+        return None
+
+    def deputy(self, number: int) -> claims.Member | None:
+        """Returns the deputy that this process should name."""
+        info = shards.deputy_for(
+            number, self.me.id, self._data_centre, self.candidates
+        )
+        if info is None:
+            return None
+        host, port = info.peer_address
+        return claims.Member(info.id, info.incarnation, host, port)
+
+    def new_claim(
+        self, now: float, state: Shard, lease: str, kind: Kind, clean: bool
+    ) -> claims.Claim:
+        """Returns the claim with which this process would own a shard."""
+        mine = (claims.journal_prefix(self.me), 0.0)
+        deputy = self.deputy(state.number)
+        old = state.claim
+        if old is None:
+            return claims.Claim(self.me, lease, 1, deputy, journals=(mine,))
+        unix = self.unix(now)
+        journals = [
+            (prefix, ended or unix)
+            for prefix, ended in old.journals
+            if prefix != mine[0]
+            and (ended == 0 or ended > unix - JOURNAL_SECONDS)
+        ]
+        # Begins that came with a hand-over may be in no journal.
+        unsettled = kind is Kind.HANDOVER and not clean
+        return claims.Claim(
+            owner=self.me,
+            lease=lease,
+            epoch=old.epoch + 1,
+            deputy=deputy,
+            outage=int(unsettled),
+            unclean_at=old.unclean_at
+            if clean or kind is Kind.HANDOVER
+            else unix,
+            journals=(*journals, mine),
+        )
+
+
+@attrs.frozen
+class Takeover:
+    """A claim that the rules allow now, or processes to probe before."""
+
+    kind: Kind | None = None
+    clean: bool = True
+    issue_from: float = -math.inf
+    probe: tuple[claims.Member, ...] = ()
+
+
+def takeover(now: float, state: Shard, fleet: Fleet) -> Takeover:
+    """Decides whether this process may claim a shard that it follows."""
+    if state.claim is None:
+        first = fleet.first(state.number)
+        if first is not None and first.id == fleet.me.id:
+            return Takeover(Kind.FRESH, issue_from=now)
+        return Takeover()
+    deputy = state.claim.deputy
+    if deputy is not None and deputy.process == fleet.me.process:
+        return _as_deputy(now, state, fleet)
+    return _as_third_party(now, state, fleet)
+
+
+def _as_deputy(now: float, state: Shard, fleet: Fleet) -> Takeover:
+    assert state.claim is not None
+    owner = state.claim.owner
+    clean = state.clean_for_deputy()
+    may_act = now >= state.promised_at + shard.PROMISE_SECONDS
+    if state.lapsed_at is not None and may_act:
+        # Grants end with the authority of the owner that issued them.
+        return Takeover(Kind.DEPUTY, clean, now)
+    if fleet.gone.certain(owner):
+        return Takeover(Kind.DEPUTY, clean, now + GRANT_TAIL_SECONDS)
+    if fleet.alive(owner):
+        return Takeover()
+    return Takeover(probe=(owner,))
+
+
+def _as_third_party(now: float, state: Shard, fleet: Fleet) -> Takeover:
+    claim = state.claim
+    assert claim is not None
+    if state.lapsed_at is None:
+        return Takeover()
+    pair = [claim.owner] + ([claim.deputy] if claim.deputy else [])
+    first = fleet.first(
+        state.number, [each.id for each in pair if not fleet.alive(each)]
+    )
+    if first is None or first.id != fleet.me.id:
+        return Takeover()
+    if any(fleet.gone.has_lease(each) for each in pair):
+        return Takeover()
+    unsure = [each for each in pair if not fleet.gone.certain(each)]
+    waited = now - state.lapsed_at >= shard.CERTAIN_SECONDS
+    if unsure and not claim.released and not waited:
+        return Takeover(probe=tuple(unsure))
+    return Takeover(Kind.THIRD_PARTY, False, now + GRANT_TAIL_SECONDS)
+
+
+def new_deputy(now: float, state: Shard, fleet: Fleet) -> claims.Member | None:
+    """Returns the deputy that should replace the present one, or None."""
+    assert state.claim is not None
+    present = state.claim.deputy
+    if present is not None:
+        dead = fleet.dead_for(now, present) >= DEPUTY_DEAD_SECONDS
+        if not dead and not fleet.gone.certain(present):
+            return None
+    chosen = fleet.deputy(state.number)
+    if chosen is None or (present and chosen.process == present.process):
+        return None
+    return chosen
+
+
+def wants_claim(state: Shard) -> bool:
+    """Tells whether a shard may be claimed or its claim changed now."""
+    return state.pending is None and state.known_at < math.inf
+
+
+def pending(
+    now: float, state: Shard, fleet: Fleet, lease: str, plan: Takeover
+) -> Pending:
+    """Returns the write that carries out a planned takeover."""
+    assert plan.kind is not None
+    claim = fleet.new_claim(now, state, lease, plan.kind, plan.clean)
+    return Pending(claim, plan.kind, plan.issue_from, plan.clean)
+
+
+class Placement:
+    """Notices shards that another candidate should own, one at a time."""
+
+    def __init__(self, fleet: Fleet):
+        self._fleet = fleet
+        self._since: dict[int, float] = {}
+
+    def misplaced(self, now: float, number: int, held: Iterable[Shard]) -> bool:
+        """Tells whether to hand a shard over to the first candidate."""
+        first = self._fleet.first(number)
+        if first is None or first.id == self._fleet.me.id:
+            self.forget(number)
+            return False
+        since = self._since.setdefault(number, now)
+        if now - since < REBALANCE_SECONDS:
+            return False
+        return not any(each.phase is shard.Phase.FROZEN for each in held)
+
+    def forget(self, number: int) -> None:
+        """Starts to wait again, after a hand-over that failed."""
+        self._since.pop(number, None)
--- /dev/null
+++ b/src/cicadafront/limits/lease.py
@@ -0,0 +1,70 @@
+"""The one store lease of a process that owns or may own shards."""
+
+import math
+import random
+
+from cicadafront.limits import actions
+from cicadafront.limits.schedule import Schedule
+
+RENEW_SECONDS = 1.5
+
+
+class Lease:
+    """Creates and renews a lease and remembers when it was confirmed.
+
+    Attributes:
+        id: Live lease whose key is in the store, or None.
+        confirmed_at: Send time of the newest request that the store
+            confirmed, in seconds of this process's clock.
+    """
+
+    def __init__(self, schedule: Schedule, rng: random.Random):
+        self.id: str | None = None
+        self.confirmed_at = -math.inf
+        self._schedule = schedule
+        self._rng = rng
+        self._new: tuple[str, float] | None = None
+
+    def granted(self, now: float, sent: float, lease: str) -> None:
+        """Takes a new lease; its key is written before it is used."""
+        self._schedule.done("lease", now)
+        self._new = (lease, sent)
+
+    def key_written(self, now: float, lease: str) -> None:
+        """Takes the new lease into use."""
+        self._schedule.done("lease", now)
+        if self._new is not None and self._new[0] == lease:
+            self.id, self.confirmed_at = self._new
+            self._new = None
+
+    def renewed(self, sent: float, lease: str) -> bool:
+        """Takes a confirmation; tells whether it was of the live lease."""
+        jitter = self._rng.uniform(0.9, 1)
+        self._schedule.done("lease", sent + jitter * RENEW_SECONDS)
+        if lease != self.id:
+            return False
+        self.confirmed_at = max(self.confirmed_at, sent)
+        return True
+
+    def lost(self, now: float, lease: str) -> None:
+        """Drops a lease that the store no longer knows."""
+        self._schedule.done("lease", now)
+        if lease == self.id:
+            self.id = None
+            self.confirmed_at = -math.inf
+        if self._new is not None and self._new[0] == lease:
+            self._new = None
+
+    def age(self, now: float) -> float:
+        """Returns the seconds since the newest confirmation was sent."""
+        return now - self.confirmed_at
+
+    def next(self, now: float) -> list[actions.Action]:
+        """Returns the call that is due, if any."""
+        if not self._schedule.begin(now, "lease"):
+            return []
+        if self._new is not None:
+            return [actions.WriteLeaseKey(self._new[0])]
+        if self.id is None:
+            return [actions.GrantLease()]
+        return [actions.RenewLease(self.id)]
--- /dev/null
+++ b/src/cicadafront/limits/ownership.py
@@ -0,0 +1,396 @@
+"""Decides which shards this process owns and until when it may act.
+
+`Ownership` is pure: the caller reports events with the current time and
+executes the actions that come back. The rules are in docs/design.md, 3.5; the
+reasons for those that differ are in docs/limits.md.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from cicadafront import ports
+from cicadafront.limits import actions, claims, decisions, shards
+from cicadafront.limits.lease import Lease
+from cicadafront.limits.schedule import BACKOFF_SECONDS, Schedule
+from cicadafront.limits.shard import Ask, Kind, Pending, Phase, Shard
+
+# The deputy is asked once the store's confirmation is this old: a renewal has
+# then failed or is late.
+ASK_AFTER_SECONDS = 2.0
+ASK_SECONDS = 1.0
+LEASE_LIST_SECONDS = 1.0
+READ_ALL_SECONDS = 60.0
+HANDOVER_SECONDS = 5.0
+# Claims in one tick; a fleet that starts would otherwise write all at once.
+CLAIMS_PER_TICK = 8
+
+
+class Ownership:
+    """Ownership of all shards as one process sees it.
+
+    Attributes:
+        me: This process.
+        shards: State of each shard.
+        lease: Lease of this process.
+        stopping: Whether a planned stop has begun.
+    """
+
+    def __init__(
+        self,
+        me: claims.Member,
+        data_centre: str,
+        rng: random.Random,
+        unix_offset: float = 0.0,
+    ):
+        self.me = me
+        self.shards = [Shard(number) for number in range(shards.SHARDS)]
+        self._schedule = Schedule(rng)
+        self.lease = Lease(self._schedule, rng)
+        self.stopping = False
+        self._rng = rng
+        self._live: set[str] = set()
+        self._fleet = decisions.Fleet(me, data_centre, unix_offset)
+        self._placement = decisions.Placement(self._fleet)
+
+    def acts(self, now: float, number: int) -> int | None:
+        """Returns the epoch if this process may act as owner, else None."""
+        claim = self.shards[number].claim
+        if claim is not None and now < self.authority_end(number):
+            return claim.epoch
+        return None
+
+    def authority_end(self, number: int) -> float:
+        """Returns the time until which this process may act for a shard."""
+        return self.shards[number].authority_end(
+            self.lease.id, self.lease.confirmed_at
+        )
+
+    def memory_only(self, now: float, number: int) -> bool:
+        """Tells whether begins may be kept without the journal.
+
+        The deputy must know of the outage first: otherwise it would take a
+        journal without these begins for complete.
+        """
+        state = self.shards[number]
+        return state.outage_open and now < state.deputy_until
+
+    def owner(self, number: int) -> str | None:
+        """Returns the instance that owns a shard as far as known."""
+        claim = self.shards[number].claim
+        return claim.owner.id if claim is not None else None
+
+    def directory_changed(
+        self, now: float, instances: Iterable[ports.InstanceInfo]
+    ) -> None:
+        """Takes what is now known of the fleet."""
+        if self._fleet.update(now, instances):
+            self._schedule.by("read", now + 1.0)
+
+    def lease_renewed(self, sent: float, lease: str) -> None:
+        """Takes a confirmation of the lease by the store."""
+        if not self.lease.renewed(sent, lease):
+            return
+        for state in self.shards:
+            if state.held and state.claim and state.claim.lease == lease:
+                state.stored_at = self.lease.confirmed_at
+
+    def store_failed(self, now: float, what: str) -> None:
+        """Notes that the store did not answer `lease`, `read` or `leases`."""
+        self._schedule.failed(now, what)
+
+    def leases_read(
+        self, now: float, sent: float, live: dict[str, claims.Member]
+    ) -> None:
+        """Takes the live leases; an absent one has ended for good."""
+        self._schedule.done("leases", now + LEASE_LIST_SECONDS)
+        if self._live - live.keys():
+            # A deputy may not know yet of what the lapsed lease covered.
+            self._schedule.by("read", now)
+        self._live = set(live)
+        self._fleet.gone.leased({each.process for each in live.values()})
+        for state in self.shards:
+            # An answer older than the claim may lack the claim's lease.
+            if state.claim is None or sent < state.known_at:
+                continue
+            if state.claim.lease not in live and state.lapsed_at is None:
+                state.lapsed_at = now
+
+    def read(
+        self, now: float, found: dict[int, tuple[claims.Claim, int]]
+    ) -> list[actions.Action]:
+        """Takes all claims in the store."""
+        jitter = self._rng.uniform(0.9, 1)
+        self._schedule.done("read", now + jitter * READ_ALL_SECONDS)
+        result = []
+        for state in self.shards:
+            claim, version = found.get(state.number, (None, 0))
+            result += self._learn(now, state, claim, version)
+        return result
+
+    def told(
+        self, now: float, number: int, claim: claims.Claim, version: int
+    ) -> list[actions.Action]:
+        """Takes a claim that is certainly in the store, or was."""
+        return self._learn(now, self.shards[number], claim, version)
+
+    def conflicted(self, now: float, number: int) -> None:
+        """Takes the refusal of a `WriteClaim`; a read shows who won."""
+        self.shards[number].retry(now + BACKOFF_SECONDS[0])
+        self._schedule.by("read", now)
+
+    def write_failed(self, now: float, number: int) -> None:
+        """Notes that a `WriteClaim` has no answer: it may take effect yet."""
+        retry_at = self._schedule.failed(now, "write")
+        self.shards[number].retry(retry_at)
+        self._schedule.by("read", retry_at)
+
+    def asked(self, now: float, ask: Ask) -> bool:
+        """Answers an owner; True is a promise not to claim for 5 s."""
+        state = self.shards[ask.shard]
+        if ask.version > state.version:
+            self._schedule.by("read", now)
+        return state.promise(now, ask, self.me)
+
+    def proved_gone(self, member: claims.Member) -> None:
+        """Takes the proof that a process has ended."""
+        self._fleet.gone.proved(member)
+
+    def handover_asked(
+        self,
+        now: float,
+        number: int,
+        claim: claims.Claim,
+        version: int,
+        settled: bool,
+    ) -> list[actions.Action]:
+        """Takes over a shard whose owner has stopped acting for it.
+
+        `settled` tells whether all begins under `claim` are in its journal.
+        """
+        state = self.shards[number]
+        result = self._learn(now, state, claim, version)
+        if version != state.version or not decisions.wants_claim(state):
+            return result
+        if state.phase is not Phase.FOLLOWING or not self._may_claim(now):
+            return result
+        plan = decisions.Takeover(Kind.HANDOVER, settled, now)
+        return result + self._claim(now, state, plan)
+
+    def freeze(self, now: float, number: int) -> bool:
+        """Stops acting for a shard that is to be handed over."""
+        state = self.shards[number]
+        if state.phase is Phase.FROZEN:
+            return True
+        if state.phase is not Phase.HOLDING or state.pending is not None:
+            return False
+        state.life.freeze()
+        state.frozen_at = now
+        state.outage_open = False
+        state.deputy_until = -math.inf
+        return True
+
+    def settle(self, now: float, number: int) -> int | None:
+        """Ends an outage: further begins must be in the journal.
+
+        Returns the number of the outage; call `settled` with it once all
+        begins of the shard are in the journal.
+        """
+        state = self.shards[number]
+        if not self._store_confirmed(now) or state.pending is not None:
+            return None
+        if state.phase is not Phase.HOLDING or state.claim is None:
+            return None
+        if state.claim.lease != self.lease.id or state.settled:
+            return None
+        state.outage_open = False
+        state.deputy_until = -math.inf
+        return state.outage
+
+    def settled(
+        self, now: float, number: int, outage: int
+    ) -> list[actions.Action]:
+        """Records that the begins of all outages so far are journaled."""
+        state = self.shards[number]
+        if state.phase is not Phase.HOLDING or state.pending is not None:
+            return []
+        assert state.claim is not None
+        claim = attrs.evolve(state.claim, settled=outage)
+        return self._write(state, Pending(claim, Kind.UPDATE))
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Returns what is due; call it at least every 0.25 s."""
+        result = self._store_calls(now)
+        claims_left = CLAIMS_PER_TICK
+        for state in self.shards:
+            if state.pending is not None:
+                result += self._resend(now, state)
+            elif state.held:
+                result += self._keep(now, state)
+            elif claims_left and self._may_claim(now):
+                made = self._consider(now, state)
+                claims_left -= state.pending is not None
+                result += made
+        return result + self._ask_deputies(now)
+
+    def _learn(
+        self,
+        now: float,
+        state: Shard,
+        claim: claims.Claim | None,
+        version: int,
+    ) -> list[actions.Action]:
+        before, was = state.pending, state.claim
+        if not state.learn(now, claim, version):
+            return []
+        if state.phase is Phase.FOLLOWING:
+            return []
+        if before is not None and claim == before.claim:
+            return self._won(state, before)
+        if state.held and was is not None and claim is not None:
+            same = (claim.owner, claim.epoch) == (was.owner, was.epoch)
+            if same:
+                return []
+        held = state.held
+        state.life.lost()
+        state.deputy_until = -math.inf
+        return [actions.Lost(state.number)] if held else []
+
+    def _won(self, state: Shard, write: Pending) -> list[actions.Action]:
+        if write.kind is Kind.UPDATE:
+            return []
+        state.life.won()
+        state.begin_epoch(write.kind)
+        claim = write.claim
+        if claim.lease == self.lease.id:
+            state.stored_at = self.lease.confirmed_at
+        return [
+            actions.Acquired(
+                state.number, claim, write.kind, write.clean, write.issue_from
+            )
+        ]
+
+    def _store_confirmed(self, now: float) -> bool:
+        return self.lease.age(now) < ASK_AFTER_SECONDS
+
+    def _may_claim(self, now: float) -> bool:
+        return self._store_confirmed(now) and not self.stopping
+
+    def _store_calls(self, now: float) -> list[actions.Action]:
+        involved = self._fleet.is_candidate(self.me.id) or any(
+            state.held or state.deputised(self.me) for state in self.shards
+        )
+        if not involved:
+            return []
+        result = self.lease.next(now)
+        if self.lease.id is None:
+            return result
+        if self._schedule.begin(now, "read"):
+            result.append(actions.ReadClaims())
+        if self._schedule.begin(now, "leases"):
+            result.append(actions.ReadLeases())
+        return result
+
+    def _consider(self, now: float, state: Shard) -> list[actions.Action]:
+        if not decisions.wants_claim(state):
+            return []
+        plan = decisions.takeover(now, state, self._fleet)
+        if plan.kind is not None:
+            return self._claim(now, state, plan)
+        return [
+            actions.Probe(member)
+            for member in plan.probe
+            if self._fleet.gone.probe_due(now, member)
+        ]
+
+    def _claim(
+        self, now: float, state: Shard, plan: decisions.Takeover
+    ) -> list[actions.Action]:
+        assert self.lease.id is not None
+        state.life.claim()
+        return self._write(
+            state,
+            decisions.pending(now, state, self._fleet, self.lease.id, plan),
+        )
+
+    def _keep(self, now: float, state: Shard) -> list[actions.Action]:
+        if state.phase is Phase.FROZEN:
+            return self._thaw(now, state)
+        if not self._store_confirmed(now):
+            return []
+        if self.stopping or self._placement.misplaced(
+            now, state.number, self.shards
+        ):
+            target = self._fleet.first(state.number, [self.me.id])
+            if target is not None:
+                return [actions.HandOver(state.number, target.id)]
+        assert state.claim is not None and self.lease.id is not None
+        claim = state.claim
+        deputy = decisions.new_deputy(now, state, self._fleet)
+        if deputy is None and claim.lease == self.lease.id:
+            return []
+        claim = attrs.evolve(
+            state.claim,
+            lease=self.lease.id,
+            deputy=deputy or claim.deputy,
+            outage=state.outage,
+        )
+        return self._write(state, Pending(claim, Kind.UPDATE))
+
+    def _thaw(self, now: float, state: Shard) -> list[actions.Action]:
+        if now < state.frozen_at + HANDOVER_SECONDS:
+            return []
+        if self.stopping:
+            state.frozen_at = now
+            target = self._fleet.first(state.number, [self.me.id])
+            return [actions.HandOver(state.number, target.id)] if target else []
+        if not self._store_confirmed(now):
+            return []
+        assert state.claim is not None and self.lease.id is not None
+        self._placement.forget(state.number)
+        claim = attrs.evolve(
+            state.claim,
+            lease=self.lease.id,
+            epoch=state.claim.epoch + 1,
+            outage=state.outage,
+        )
+        return self._write(state, Pending(claim, Kind.FENCE, now))
+
+    def _write(self, state: Shard, write: Pending) -> list[actions.Action]:
+        write.in_flight = True
+        state.pending = write
+        if state.changes_deputy:
+            # The old deputy may be replaced from here on.
+            state.deputy_until = -math.inf
+        return [actions.WriteClaim(state.number, write.claim, state.version)]
+
+    def _resend(self, now: float, state: Shard) -> list[actions.Action]:
+        write = state.pending
+        if write is None or write.in_flight or now < write.retry_at:
+            return []
+        return self._write(state, write)
+
+    def _ask_deputies(self, now: float) -> list[actions.Action]:
+        asks: dict[claims.Member, list[Ask]] = {}
+        for state in self.shards:
+            if self._needs_deputy(now, state):
+                ask = state.ask(self.me)
+                assert state.claim is not None and state.claim.deputy
+                asks.setdefault(state.claim.deputy, []).append(ask)
+        if not asks or not self._schedule.begin(now, "ask"):
+            return []
+        self._schedule.done("ask", now + ASK_SECONDS)
+        return [
+            actions.AskDeputy(deputy, tuple(each))
+            for deputy, each in asks.items()
+        ]
+
+    def _needs_deputy(self, now: float, state: Shard) -> bool:
+        if state.phase is not Phase.HOLDING or state.claim is None:
+            return False
+        if state.claim.deputy is None or state.changes_deputy:
+            return False
+        own = state.claim.lease == self.lease.id
+        return not own or self.lease.age(now) > ASK_AFTER_SECONDS
--- /dev/null
+++ b/src/cicadafront/limits/schedule.py
@@ -0,0 +1,41 @@
+"""When to call the store next, with backoff while it does not answer."""
+
+import math
+import random
+
+BACKOFF_SECONDS = (0.5, 5.0)
+
+
+class Schedule:
+    """Due times of repeated store calls; at most one of a kind at a time."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+        self._due: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._backoff = BACKOFF_SECONDS[0]
+
+    def begin(self, now: float, what: str) -> bool:
+        """Tells whether a call is due, and marks it as running."""
+        if what in self._busy or now < self._due.get(what, -math.inf):
+            return False
+        self._busy.add(what)
+        return True
+
+    def done(self, what: str, due: float) -> None:
+        """Notes an answer and when the next call is due."""
+        self._busy.discard(what)
+        self._due[what] = due
+        self._backoff = BACKOFF_SECONDS[0]
+
+    def failed(self, now: float, what: str) -> float:
+        """Notes a missing answer; returns when to try again."""
+        self._busy.discard(what)
+        due = now + self._rng.uniform(0.5, 1) * self._backoff
+        self._due[what] = due
+        self._backoff = min(self._backoff * 2, BACKOFF_SECONDS[1])
+        return due
+
+    def by(self, what: str, due: float) -> None:
+        """Makes a call due at a time unless it is due earlier."""
+        self._due[what] = min(self._due.get(what, due), due)
--- /dev/null
+++ b/src/cicadafront/limits/service.py
@@ -0,0 +1,371 @@
+"""Executes the decisions of `ownership` over the store and peer calls."""
+
+import random
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+import eliot
+from twisted.internet import defer
+
+from cicadafront import errors, ports
+from cicadafront.limits import actions, calls, claims
+from cicadafront.limits.ownership import Ownership
+from cicadafront.limits.shard import LEASE_SECONDS, Ask, Kind, Phase
+
+TICK_SECONDS = 0.25
+STORE_SECONDS = 1.0
+DEPUTY_SECONDS = 1.0
+HANDOVER_SECONDS = 3.0
+# State of a shard travels in pieces, so that no frame grows with it.
+PIECE_BYTES = 128 * 1024
+CONFIRM = "owner.confirm"
+HANDOVER = "owner.handover"
+
+
+def _log(text: str, **fields: object) -> None:
+    eliot.log_message("limits", text=f"limits: {text}", **fields)
+
+
+class Part(Protocol):
+    """State that moves with a shard."""
+
+    name: str
+
+    def acquired(self, event: actions.Acquired, state: Any) -> None:
+        """Starts to own a shard; `state` comes from a hand-over or is None."""
+
+    def lost(self, shard: int) -> None:
+        """Drops the state of a shard that another instance owns."""
+
+    def export(self, shard: int) -> Any:
+        """Returns the state for a hand-over as JSON data.
+
+        The shard is frozen: calls that wait are answered with a redirect.
+        """
+
+
+Prober = Callable[[str, int], "defer.Deferred[bool]"]
+
+
+class OwnershipService:
+    """Runs `Ownership` and tells the parts which shards are owned.
+
+    Attributes:
+        core: The decisions.
+        parts: State that moves with the shards.
+    """
+
+    def __init__(
+        self,
+        core: Ownership,
+        store: ports.Store,
+        peers: ports.PeerCalls,
+        directory: ports.Directory,
+        timer: calls.Timer,
+        rng: random.Random,
+        prober: Prober,
+    ):
+        self.core = core
+        self.parts: list[Part] = []
+        self._store = store
+        self._peers = peers
+        self._directory = directory
+        self._timer = timer
+        self._rng = rng
+        self._prober = prober
+        self._pieces: dict[tuple[int, int], dict[int, str]] = {}
+        self._arrived: dict[int, Any] = {}
+        self._handing: set[int] = set()
+        self._stopped: defer.Deferred[None] | None = None
+        peers.register(CONFIRM, self._serve_confirm)
+        peers.register(HANDOVER, self._serve_handover)
+        directory.on_change(self._directory_changed)
+
+    def start(self) -> None:
+        """Starts to claim and renew."""
+        self._directory_changed()
+        self._timer.callLater(self._rng.uniform(0, TICK_SECONDS), self._tick)
+
+    def stop(self) -> "defer.Deferred[None]":
+        """Hands over all shards; fires once none is held."""
+        self.core.stopping = True
+        stopped = self._stopped = defer.Deferred()
+        return stopped
+
+    def acts(self, shard: int) -> int | None:
+        """Returns the epoch if this instance may act as owner now."""
+        return self.core.acts(self._timer.seconds(), shard)
+
+    def redirect(self, shard: int) -> bytes:
+        """Returns the reply of an instance that does not own a shard."""
+        owner = self.core.owner(shard)
+        if owner == self.core.me.id:
+            owner = None
+        return calls.pack({"owner": owner})
+
+    def _directory_changed(self) -> None:
+        self.core.directory_changed(
+            self._timer.seconds(), self._directory.instances()
+        )
+
+    def _tick(self) -> None:
+        self._timer.callLater(TICK_SECONDS, self._tick)
+        self.run(self.core.tick(self._timer.seconds()))
+        held = any(state.held for state in self.core.shards)
+        if self._stopped is not None and not held:
+            stopped, self._stopped = self._stopped, None
+            stopped.callback(None)
+
+    def run(self, todo: list[actions.Action]) -> None:
+        """Executes actions of the core."""
+        for action in todo:
+            match action:
+                case actions.AskDeputy(deputy, asks):
+                    self._ask(deputy, asks)
+                case actions.Probe(member):
+                    self._probe(member)
+                case actions.HandOver(shard, to):
+                    self._hand_over(shard, to)
+                case actions.Acquired():
+                    self._acquired(action)
+                case actions.Lost(shard):
+                    _log("Lost the shard.", shard=shard)
+                    for part in self.parts:
+                        part.lost(shard)
+                case _:
+                    self._call_store(action)
+
+    def _bounded(self, deferred: "defer.Deferred[Any]"):
+        return calls.bounded(deferred, self._timer, STORE_SECONDS)
+
+    def _call_store(self, action: actions.Action) -> None:
+        match action:
+            case actions.GrantLease() | actions.WriteLeaseKey():
+                self._new_lease(action)
+            case actions.RenewLease(lease):
+                self._renew(lease)
+            case actions.ReadClaims():
+                self._read_claims()
+            case actions.ReadLeases():
+                self._read_leases()
+            case actions.WriteClaim():
+                self._write_claim(action)
+
+    @defer.inlineCallbacks
+    def _new_lease(self, action: actions.GrantLease | actions.WriteLeaseKey):
+        sent = self._timer.seconds()
+        lease = self.core.lease
+        try:
+            if isinstance(action, actions.GrantLease):
+                id = yield self._bounded(self._store.grant_lease(LEASE_SECONDS))
+                lease.granted(self._timer.seconds(), sent, id)
+                return
+            yield self._bounded(
+                self._store.put(
+                    claims.lease_key(action.lease),
+                    claims.encode_member(self.core.me),
+                    lease=action.lease,
+                )
+            )
+            lease.key_written(self._timer.seconds(), action.lease)
+        except errors.StoreConflictError:
+            if isinstance(action, actions.WriteLeaseKey):
+                lease.lost(self._timer.seconds(), action.lease)
+        except (errors.CicadafrontError, defer.TimeoutError):
+            self.core.store_failed(self._timer.seconds(), "lease")
+
+    @defer.inlineCallbacks
+    def _renew(self, lease: str):
+        sent = self._timer.seconds()
+        try:
+            yield self._bounded(self._store.renew_lease(lease))
+        except errors.StoreConflictError:
+            _log("The store lease has lapsed.", lease=lease)
+            self.core.lease.lost(self._timer.seconds(), lease)
+        except (errors.CicadafrontError, defer.TimeoutError):
+            self.core.store_failed(self._timer.seconds(), "lease")
+        else:
+            self.core.lease_renewed(sent, lease)
+
+    @defer.inlineCallbacks
+    def _read_claims(self):
+        try:
+            found = yield self._bounded(self._store.list(claims.OWNER_PREFIX))
+        except (errors.CicadafrontError, defer.TimeoutError):
+            self.core.store_failed(self._timer.seconds(), "read")
+            return
+        decoded = {}
+        for key, item in found.items():
+            number = int(key.removeprefix(claims.OWNER_PREFIX))
+            decoded[number] = (claims.decode(item.value), item.version)
+        self.run(self.core.read(self._timer.seconds(), decoded))
+
+    @defer.inlineCallbacks
+    def _read_leases(self):
+        sent = self._timer.seconds()
+        try:
+            found = yield self._bounded(self._store.list(claims.LEASE_PREFIX))
+        except (errors.CicadafrontError, defer.TimeoutError):
+            self.core.store_failed(self._timer.seconds(), "leases")
+            return
+        live = {
+            key.removeprefix(claims.LEASE_PREFIX): claims.decode_member(
+                item.value
+            )
+            for key, item in found.items()
+        }
+        self.core.leases_read(self._timer.seconds(), sent, live)
+
+    @defer.inlineCallbacks
+    def _write_claim(self, action: actions.WriteClaim):
+        try:
+            version = yield self._bounded(
+                self._store.put(
+                    claims.owner_key(action.shard),
+                    claims.encode(action.claim),
+                    expected=action.expected,
+                )
+            )
+        except errors.StoreConflictError:
+            self.core.conflicted(self._timer.seconds(), action.shard)
+        except (errors.CicadafrontError, defer.TimeoutError):
+            self.core.write_failed(self._timer.seconds(), action.shard)
+        else:
+            self.run(
+                self.core.told(
+                    self._timer.seconds(), action.shard, action.claim, version
+                )
+            )
+
+    @defer.inlineCallbacks
+    def _probe(self, member: claims.Member):
+        refused = yield self._prober(member.host, member.port)
+        if refused:
+            self.core.proved_gone(member)
+
+    @defer.inlineCallbacks
+    def _ask(self, deputy: claims.Member, asks: tuple[Ask, ...]):
+        sent = self._timer.seconds()
+        body = calls.pack([attrs.astuple(ask) for ask in asks])
+        try:
+            answer = yield calls.bounded(
+                self._peers.call(deputy.id, CONFIRM, body, DEPUTY_SECONDS),
+                self._timer,
+                DEPUTY_SECONDS,
+            )
+        except (errors.CicadafrontError, defer.TimeoutError):
+            return
+        for ask, promised in zip(asks, calls.unpack(answer), strict=True):
+            if promised:
+                self.core.shards[ask.shard].confirm(sent, ask)
+
+    def _serve_confirm(self, _caller: str, body: bytes) -> bytes:
+        now = self._timer.seconds()
+        answers = []
+        for shard, owner, deputy, epoch, version, outage in calls.unpack(body):
+            ask = Ask(
+                shard, tuple(owner), tuple(deputy), epoch, version, outage
+            )
+            answers.append(self.core.asked(now, ask))
+        return calls.pack(answers)
+
+    def _acquired(self, event: actions.Acquired) -> None:
+        _log(
+            "Owns the shard.",
+            shard=event.shard,
+            epoch=event.claim.epoch,
+            kind=event.kind.value,
+        )
+        arrived = self._arrived.pop(event.shard, None)
+        # State that arrived for an earlier claim is stale.
+        state = arrived if event.kind is Kind.HANDOVER else None
+        for part in self.parts:
+            own = state.get(part.name) if state is not None else None
+            part.acquired(event, own)
+
+    @defer.inlineCallbacks
+    def _hand_over(self, shard: int, to: str):
+        if shard in self._handing:
+            return
+        if not self.core.freeze(self._timer.seconds(), shard):
+            return
+        self._handing.add(shard)
+        try:
+            yield self._send_state(shard, to)
+        except (errors.CicadafrontError, defer.TimeoutError):
+            _log("The hand-over failed.", shard=shard, to=to)
+        finally:
+            self._handing.discard(shard)
+
+    @defer.inlineCallbacks
+    def _send_state(self, shard: int, to: str):
+        state = self.core.shards[shard]
+        assert state.claim is not None
+        data = {part.name: part.export(shard) for part in self.parts}
+        text = calls.pack(data).decode()
+        pieces = [
+            text[start : start + PIECE_BYTES]
+            for start in range(0, len(text), PIECE_BYTES)
+        ]
+        for index, piece in enumerate(pieces):
+            body = {
+                "shard": shard,
+                "claim": claims.encode(state.claim).decode(),
+                "version": state.version,
+                "settled": state.settled,
+                "index": index,
+                "count": len(pieces),
+                "piece": piece,
+            }
+            answer = yield calls.bounded(
+                self._peers.call(
+                    to, HANDOVER, calls.pack(body), HANDOVER_SECONDS
+                ),
+                self._timer,
+                HANDOVER_SECONDS,
+            )
+        reply = calls.unpack(answer)
+        if reply["claim"] is not None:
+            claim = claims.decode(reply["claim"].encode())
+            self.run(
+                self.core.told(
+                    self._timer.seconds(), shard, claim, reply["version"]
+                )
+            )
+
+    def _serve_handover(self, _caller: str, body: bytes):
+        data = calls.unpack(body)
+        shard, version = data["shard"], data["version"]
+        pieces = self._pieces.setdefault((shard, version), {})
+        pieces[data["index"]] = data["piece"]
+        if len(pieces) < data["count"]:
+            return calls.pack({"claim": None})
+        del self._pieces[shard, version]
+        text = "".join(pieces[index] for index in range(data["count"]))
+        todo = self.core.handover_asked(
+            self._timer.seconds(),
+            shard,
+            claims.decode(data["claim"].encode()),
+            version,
+            data["settled"],
+        )
+        if any(isinstance(each, actions.WriteClaim) for each in todo):
+            self._arrived[shard] = calls.unpack(text.encode())
+        self.run(todo)
+        return self._when_claimed(shard)
+
+    @defer.inlineCallbacks
+    def _when_claimed(self, shard: int):
+        end = self._timer.seconds() + HANDOVER_SECONDS
+        state = self.core.shards[shard]
+        while state.phase is Phase.CLAIMING and self._timer.seconds() < end:
+            yield calls.pause(self._timer, 0.02)
+        if state.phase is not Phase.HOLDING or state.claim is None:
+            return calls.pack({"claim": None})
+        return calls.pack(
+            {
+                "claim": claims.encode(state.claim).decode(),
+                "version": state.version,
+            }
+        )
--- /dev/null
+++ b/src/cicadafront/limits/shard.py
@@ -0,0 +1,299 @@
+"""What one process knows and has promised about one shard."""
+
+import enum
+import math
+from typing import Protocol
+
+import attrs
+import automat
+
+from cicadafront.limits import claims
+
+# Lifetime of a lease in the store.
+LEASE_SECONDS = 5.0
+# An owner acts this long after sending a request that was confirmed. It is
+# shorter than the lease and than a deputy's promise, so that the owner stops
+# first even when the two clocks differ by 1%.
+CONFIRMED_SECONDS = 4.0
+# A deputy neither claims nor acts this long after its last promise.
+PROMISE_SECONDS = 5.0
+# Longest time on promises alone; others may claim after CERTAIN_SECONDS.
+DEPUTY_ONLY_SECONDS = 11 * 3600.0
+CERTAIN_SECONDS = 12 * 3600.0
+
+
+class Phase(enum.Enum):
+    """Stages of a shard's life in one process."""
+
+    FOLLOWING = "following"
+    CLAIMING = "claiming"
+    HOLDING = "holding"
+    FROZEN = "frozen"
+
+
+@attrs.define
+class _Stage:
+    phase: Phase = Phase.FOLLOWING
+
+
+class Life(Protocol):
+    """Inputs of the state machine of a shard's life."""
+
+    def claim(self) -> None:
+        """A claim was sent to the store."""
+
+    def won(self) -> None:
+        """The store holds this process's claim."""
+
+    def lost(self) -> None:
+        """The store holds another claim."""
+
+    def freeze(self) -> None:
+        """The shard is being handed over."""
+
+
+def _build() -> automat.TypeMachine[Life, _Stage]:
+    builder = automat.TypeMachineBuilder(Life, _Stage)
+    states = {phase: builder.state(phase.value) for phase in Phase}
+
+    def step(phase: Phase, event, to: Phase) -> None:
+        def enter(life: Life, stage: _Stage) -> None:
+            stage.phase = to
+
+        states[phase].upon(event).to(states[to])(enter)
+
+    step(Phase.FOLLOWING, Life.claim, Phase.CLAIMING)
+    step(Phase.CLAIMING, Life.won, Phase.HOLDING)
+    step(Phase.HOLDING, Life.freeze, Phase.FROZEN)
+    # A failed hand-over is fenced with a new epoch before acting again.
+    step(Phase.FROZEN, Life.won, Phase.HOLDING)
+    for phase in (Phase.CLAIMING, Phase.HOLDING, Phase.FROZEN):
+        step(phase, Life.lost, Phase.FOLLOWING)
+    return builder.build()
+
+
+_MACHINE = _build()
+
+
+class Kind(enum.Enum):
+    """Reasons to write a claim."""
+
+    FRESH = "fresh"
+    DEPUTY = "deputy"
+    THIRD_PARTY = "third party"
+    HANDOVER = "handover"
+    FENCE = "fence"
+    UPDATE = "update"
+
+
+@attrs.define
+class Pending:
+    """A compare-and-swap whose result is unknown.
+
+    It may still take effect at any later time, until the version of the key
+    moves. Until then nothing is done that its effect would make unsafe.
+    """
+
+    claim: claims.Claim
+    kind: Kind
+    issue_from: float = -math.inf
+    clean: bool = True
+    in_flight: bool = False
+    retry_at: float = -math.inf
+
+
+@attrs.define
+class Shard:
+    """Knowledge and promises of this process about a shard.
+
+    Times are seconds of this process's clock.
+
+    Attributes:
+        number: Number of the shard.
+        claim: Newest known claim, or None.
+        version: Version of the claim in the store; 0 if absent.
+        known_at: Time at which that version became known; infinite before
+            the first read.
+        lapsed_at: Time at which the claim's lease was seen to have ended.
+        pending: Unresolved write of this process.
+        deputy_until: End of the deputy's confirmation.
+        stored_at: Send time of the newest confirmation by the store.
+        promised_at: Time of the last promise given as deputy.
+        promised_epoch: Epoch of that promise.
+        promised_outage: Outage of that promise.
+        outage: Number of the last outage in this epoch.
+        outage_open: Whether begins may be kept in memory only.
+        frozen_at: Time at which the hand-over began.
+    """
+
+    number: int
+    claim: claims.Claim | None = None
+    version: int = 0
+    known_at: float = math.inf
+    lapsed_at: float | None = None
+    pending: Pending | None = None
+    deputy_until: float = -math.inf
+    stored_at: float = -math.inf
+    promised_at: float = -math.inf
+    promised_epoch: int = 0
+    promised_outage: int = 0
+    outage: int = 0
+    outage_open: bool = False
+    frozen_at: float = -math.inf
+    _stage: _Stage = attrs.field(factory=_Stage, init=False)
+    life: Life = attrs.field(init=False)
+
+    @life.default
+    def _start(self) -> Life:
+        return _MACHINE(self._stage)
+
+    @property
+    def phase(self) -> Phase:
+        """Stage of the shard's life in this process."""
+        return self._stage.phase
+
+    @property
+    def held(self) -> bool:
+        """Whether the store holds this process's claim."""
+        return self.phase in (Phase.HOLDING, Phase.FROZEN)
+
+    def authority_end(self, lease: str | None, confirmed_at: float) -> float:
+        """Returns the time until which this process may act.
+
+        Args:
+            lease: Live lease of this process, if any.
+            confirmed_at: Send time of the newest confirmation of that lease.
+        """
+        if self.phase is not Phase.HOLDING or self.claim is None:
+            return -math.inf
+        end = min(self.deputy_until, self.stored_at + DEPUTY_ONLY_SECONDS)
+        if lease is not None and lease == self.claim.lease:
+            end = max(end, confirmed_at + CONFIRMED_SECONDS)
+        return end
+
+    @property
+    def changes_deputy(self) -> bool:
+        """Whether an unresolved write names another deputy."""
+        if self.pending is None or self.claim is None:
+            return False
+        return self.pending.claim.deputy != self.claim.deputy
+
+    @property
+    def settled(self) -> bool:
+        """Whether the journal holds all begins of this epoch."""
+        return self.claim is None or self.outage <= self.claim.settled
+
+    def deputised(self, me: claims.Member) -> bool:
+        """Tells whether the newest known claim names a process as deputy."""
+        deputy = self.claim.deputy if self.claim else None
+        return deputy is not None and deputy.process == me.process
+
+    def begin_epoch(self, kind: Kind) -> None:
+        """Starts to hold the shard under the claim just learned."""
+        assert self.claim is not None
+        if kind is not Kind.FENCE:
+            self.outage = self.claim.outage
+        self.outage_open = False
+        self.deputy_until = -math.inf
+
+    def ask(self, me: claims.Member) -> "Ask":
+        """Returns the request to the deputy; opens an outage."""
+        assert self.claim is not None and self.claim.deputy is not None
+        if not self.outage_open:
+            self.outage_open = True
+            self.outage += 1
+        return Ask(
+            self.number,
+            me.process,
+            self.claim.deputy.process,
+            self.claim.epoch,
+            self.version,
+            self.outage,
+        )
+
+    def learn(
+        self, now: float, claim: claims.Claim | None, version: int
+    ) -> bool:
+        """Takes a claim from the store; tells whether it is news.
+
+        A newer version settles the fate of every earlier write: a
+        compare-and-swap on an older version can no longer take effect.
+        """
+        if version <= self.version and self.known_at < math.inf:
+            return False
+        self.claim, self.version = claim, version
+        self.pending = None
+        self.known_at = now
+        self.lapsed_at = None
+        return True
+
+    def retry(self, at: float) -> None:
+        """Lets an unresolved write be sent again."""
+        if self.pending is not None:
+            self.pending.in_flight = False
+            self.pending.retry_at = at
+
+    def promise(self, now: float, ask: "Ask", me: claims.Member) -> bool:
+        """Answers an owner that asks its deputy for confirmation."""
+        if ask.deputy != me.process or self.pending is not None:
+            return False
+        if self.phase is not Phase.FOLLOWING:
+            return False
+        if not self._may_be_deputy(ask, me):
+            return False
+        if ask.epoch < self.promised_epoch:
+            return False
+        self.promised_at = now
+        if ask.epoch > self.promised_epoch:
+            self.promised_outage = 0
+        self.promised_epoch = ask.epoch
+        self.promised_outage = max(self.promised_outage, ask.outage)
+        return True
+
+    def _may_be_deputy(self, ask: "Ask", me: claims.Member) -> bool:
+        claim = self.claim
+        if claim is None or claim.epoch < ask.epoch:
+            return True
+        if claim.epoch > ask.epoch:
+            return False
+        named = claim.deputy.process if claim.deputy else None
+        if claim.owner.process == ask.owner and named == me.process:
+            return True
+        # The owner may have named this process deputy in a newer version.
+        return ask.version > self.version
+
+    def confirm(self, sent: float, ask: "Ask") -> None:
+        """Takes a promise of the deputy that was asked at `sent`."""
+        claim = self.claim
+        if self.phase is not Phase.HOLDING or claim is None:
+            return
+        deputy = claim.deputy.process if claim.deputy else None
+        if claim.epoch != ask.epoch or deputy != ask.deputy:
+            return
+        # While another deputy may already be in force, or once the begins of
+        # this outage are declared to be in the journal, it does not count.
+        if self.changes_deputy or ask.outage != self.outage:
+            return
+        if self.outage_open:
+            until = sent + CONFIRMED_SECONDS
+            self.deputy_until = max(self.deputy_until, until)
+
+    def clean_for_deputy(self) -> bool:
+        """Tells whether the journal holds all begins of the claim's owner."""
+        assert self.claim is not None
+        outage = self.claim.outage
+        if self.promised_epoch == self.claim.epoch:
+            outage = max(outage, self.promised_outage)
+        return outage <= self.claim.settled
+
+
+@attrs.frozen
+class Ask:
+    """An owner's request to its deputy for confirmation of one shard."""
+
+    shard: int
+    owner: tuple[str, int]
+    deputy: tuple[str, int]
+    epoch: int
+    version: int
+    outage: int
