Add the rate ledger and held credit

Cause: a rate holds over the whole fleet, whatever the spread of callers. Change: the owner keeps a token bucket per client account and grants credit that ends with its own authority, so that a successor after a lapsed lease issues at once. Holders return unused credit, and an owner recalls credit when requests wait. Accounts with a small rate or burst get single tokens, reported at once: unreported credit would stop the refill of a small bucket.

--- /dev/null
+++ b/src/cicadafront/limits/grants.py
@@ -0,0 +1,258 @@
+"""Holder side of rates: credit from owners and requests that wait for it."""
+
+import collections
+import math
+
+import attrs
+
+from cicadafront.limits.ledger import Grant, GrantId, Report
+
+WAIT_SECONDS = 1.0
+# Share of a grant's life that the holder leaves unused, for clocks whose
+# rates differ by 1% each.
+LIFE_MARGIN = 0.02
+# Credit asked for ahead of need, in seconds of recent use.
+AHEAD_SECONDS = 1.5
+# More is asked for when the credit left lasts less than this.
+LOW_SECONDS = 0.3
+# Credit is returned when it ends this soon or the account is idle this long.
+RETURN_SECONDS = 0.4
+IDLE_SECONDS = 0.75
+REPORT_SECONDS = 0.2
+# Shortest time between an answer and a request for credit ahead of need.
+AHEAD_PAUSE_SECONDS = 0.1
+# Pause after an answer without credit, or no answer.
+RETRY_SECONDS = 0.05
+USE_WINDOW_SECONDS = 1.0
+# Requests of one account that may wait at one instance.
+MOST_WAITING = 2000
+
+
+@attrs.define
+class Credit:
+    """A grant at its holder."""
+
+    id: GrantId
+    amount: int
+    expires: float
+    eager: bool
+    used: int = 0
+    reported: int = 0
+
+    @property
+    def left(self) -> int:
+        """Requests that it can still admit."""
+        return self.amount - self.used
+
+
+@attrs.frozen
+class Waiting:
+    """A request that waits for credit."""
+
+    number: int
+    until: float
+
+
+@attrs.frozen
+class CreditAsk:
+    """A call to the owner of an account.
+
+    Attributes:
+        account: Account id.
+        need: Requests that wait; with `want`, 0 for a mere report.
+        want: Credit wanted beyond that.
+        wait: Seconds until the first waiting request must be answered.
+        reports: Use of earlier grants.
+    """
+
+    account: str
+    need: int
+    want: int
+    wait: float
+    reports: tuple[Report, ...]
+
+    @property
+    def report_only(self) -> bool:
+        """Whether no credit is asked for."""
+        return not self.need and not self.want
+
+
+@attrs.define
+class Holding:
+    """Credit and waiting requests of one account at this instance."""
+
+    credits: list[Credit] = attrs.field(factory=list)
+    waiting: collections.deque[Waiting] = attrs.field(factory=collections.deque)
+    asking: bool = False
+    use: float = 0.0
+    used_at: float = -math.inf
+    report_at: float = math.inf
+    retry_at: float = -math.inf
+    ahead_at: float = -math.inf
+    retry_after: float = 1.0
+
+    def left(self, now: float) -> int:
+        """Returns the requests that the live credit can still admit."""
+        return sum(each.left for each in self.credits if now < each.expires)
+
+    def arrived(self, now: float) -> None:
+        """Counts a request for the estimate of recent use."""
+        age = min(now - self.used_at, 60.0)
+        self.use *= math.exp(-age / USE_WINDOW_SECONDS)
+        self.use += 1 / USE_WINDOW_SECONDS
+        self.used_at = now
+
+    def recent_use(self, now: float) -> float:
+        """Returns the requests per second of the last seconds."""
+        age = min(now - self.used_at, 60.0)
+        return self.use * math.exp(-age / USE_WINDOW_SECONDS)
+
+    def take(self, now: float) -> bool:
+        """Uses credit for one request."""
+        for credit in self.credits:
+            if credit.left and now < credit.expires:
+                credit.used += 1
+                delay = 0.0 if credit.eager else REPORT_SECONDS
+                self.report_at = min(self.report_at, now + delay)
+                return True
+        return False
+
+    def reports(self, now: float, close: bool = False) -> tuple[Report, ...]:
+        """Returns what the owner does not know yet.
+
+        Args:
+            now: Seconds.
+            close: Whether to return all unused credit.
+        """
+        result, kept = [], []
+        for credit in self.credits:
+            ending = now >= credit.expires - RETURN_SECONDS
+            closing = close or ending or not credit.left
+            if closing or credit.used > credit.reported:
+                result.append(Report(credit.id, credit.used, closing))
+                credit.reported = credit.used
+            if not closing:
+                kept.append(credit)
+        self.credits = kept
+        self.report_at = math.inf
+        return tuple(result)
+
+
+class Grants:
+    """Credit held by this instance for all client accounts."""
+
+    def __init__(self):
+        self._holdings: dict[str, Holding] = {}
+        self._number = 0
+
+    def admit(self, now: float, account: str) -> int | None:
+        """Admits one request at once, or returns the number it waits under.
+
+        Returns 0 if too many requests of the account wait already.
+        """
+        holding = self._holdings.setdefault(account, Holding())
+        holding.arrived(now)
+        if not holding.waiting and holding.take(now):
+            return None
+        if len(holding.waiting) >= MOST_WAITING:
+            return 0
+        self._number += 1
+        holding.waiting.append(Waiting(self._number, now + WAIT_SECONDS))
+        return self._number
+
+    def asks(self, now: float, account: str) -> list[CreditAsk]:
+        """Returns the calls that are due for an account."""
+        holding = self._holdings.get(account)
+        if holding is None:
+            return []
+        if not holding.asking and now >= holding.retry_at:
+            ask = self._credit_ask(now, account, holding)
+            if ask is not None:
+                return [ask]
+        if now >= holding.report_at or self._returns(now, holding):
+            idle = now - holding.used_at >= IDLE_SECONDS
+            reports = holding.reports(now, idle)
+            if reports:
+                return [CreditAsk(account, 0, 0, 0.0, reports)]
+        return []
+
+    def granted(
+        self, now: float, sent: float, account: str, grant: Grant
+    ) -> list[int]:
+        """Takes the owner's answer; returns the requests it admits."""
+        holding = self._holdings.setdefault(account, Holding())
+        holding.asking = False
+        holding.retry_after = grant.retry_after
+        # Near the end of the owner's authority credit ends at once, and
+        # would be asked for again without a pause.
+        holding.ahead_at = now + AHEAD_PAUSE_SECONDS
+        if not grant.amount:
+            holding.retry_at = now + RETRY_SECONDS
+        if grant.amount:
+            expires = sent + grant.life * (1 - LIFE_MARGIN)
+            holding.credits.append(
+                Credit(grant.id, grant.amount, expires, grant.eager)
+            )
+        admitted = []
+        while holding.waiting:
+            if now >= holding.waiting[0].until:
+                break
+            if not holding.take(now):
+                break
+            admitted.append(holding.waiting.popleft().number)
+        return admitted
+
+    def failed(self, now: float, account: str) -> None:
+        """Notes that the owner did not answer."""
+        holding = self._holdings.setdefault(account, Holding())
+        holding.asking = False
+        holding.retry_at = now + RETRY_SECONDS
+
+    def recall(self, now: float, account: str) -> tuple[Report, ...]:
+        """Returns all unused credit that others wait for."""
+        holding = self._holdings.get(account)
+        return holding.reports(now, True) if holding is not None else ()
+
+    def refused(self, now: float, account: str) -> list[tuple[int, float]]:
+        """Returns the requests that waited too long, with `Retry-After`."""
+        holding = self._holdings.get(account)
+        result = []
+        while holding and holding.waiting and now >= holding.waiting[0].until:
+            number = holding.waiting.popleft().number
+            result.append((number, holding.retry_after))
+        return result
+
+    def accounts(self, now: float) -> list[str]:
+        """Returns the accounts in use and forgets idle ones."""
+        for account, holding in list(self._holdings.items()):
+            busy = holding.credits or holding.waiting or holding.asking
+            if not busy and now - holding.used_at > 60:
+                del self._holdings[account]
+        return list(self._holdings)
+
+    def last_deadline(self, account: str) -> float:
+        """Returns when the newest waiting request has to be answered."""
+        return self._holdings[account].waiting[-1].until
+
+    def _credit_ask(
+        self, now: float, account: str, holding: Holding
+    ) -> CreditAsk | None:
+        use = holding.recent_use(now)
+        left = holding.left(now + RETURN_SECONDS)
+        need = len(holding.waiting)
+        want = max(0, math.ceil(use * AHEAD_SECONDS) - left)
+        enough = left > use * LOW_SECONDS or use < 2 or not want
+        if not need and (enough or now < holding.ahead_at):
+            return None
+        holding.asking = True
+        wait = holding.waiting[0].until - now if need else 0.0
+        return CreditAsk(
+            account, need, want, max(0.0, wait), holding.reports(now)
+        )
+
+    def _returns(self, now: float, holding: Holding) -> bool:
+        idle = now - holding.used_at >= IDLE_SECONDS
+        return any(
+            idle or now >= each.expires - RETURN_SECONDS
+            for each in holding.credits
+        )
--- /dev/null
+++ b/src/cicadafront/limits/ledger.py
@@ -0,0 +1,337 @@
+"""Owner side of rates: one token bucket for each client account of a shard.
+
+Invariant at every instant: tokens in the bucket plus credit granted and
+neither reported used, returned nor expired, at most the burst.
+"""
+
+import collections
+import itertools
+import math
+
+import attrs
+
+from cicadafront.config import model as config_model
+
+GRANT_SECONDS = 2.0
+# A grant that would end sooner than this cannot reach its holder in time.
+SHORTEST_GRANT_SECONDS = 0.05
+SHORTEST_AHEAD_SECONDS = 1.0
+# Part of the burst that may be out as credit ahead of need. The rest stays
+# with the owner, so that a burst at one instance finds it at once.
+AHEAD_SHARE = 0.5
+# Accounts below either bound get single tokens, which are reported at once:
+# credit held back from a small bucket stops its refill.
+SMALL_RATE = 5.0
+SMALL_BURST = 20.0
+RECALL_SECONDS = 0.5
+# Tolerance for sums of fractions that should make a whole token.
+EPSILON = 1e-9
+
+GrantId = tuple[int, int]
+
+
+@attrs.frozen
+class Report:
+    """What a holder did with a grant.
+
+    Attributes:
+        id: Grant.
+        used: Tokens used of it so far.
+        closed: Whether the rest was returned.
+    """
+
+    id: GrantId
+    used: int
+    closed: bool = False
+
+
+@attrs.frozen
+class Grant:
+    """Credit for a holder.
+
+    Attributes:
+        id: Epoch of the owner and number of the grant.
+        amount: Requests that may be admitted; 0 is a refusal.
+        life: Seconds from when the holder sent its request.
+        eager: Whether use is to be reported at once.
+        retry_after: Seconds after which a refused request makes sense.
+    """
+
+    id: GrantId
+    amount: int
+    life: float
+    eager: bool = False
+    retry_after: float = 1.0
+
+
+@attrs.define
+class Outstanding:
+    """A grant in the owner's books."""
+
+    holder: str
+    amount: int
+    expires: float
+    used: int = 0
+
+    @property
+    def left(self) -> int:
+        """Tokens that may still be used."""
+        return self.amount - self.used
+
+
+@attrs.define
+class Wish:
+    """A holder's request for credit that waits for tokens."""
+
+    number: int
+    holder: str
+    need: int
+    want: int
+    until: float
+
+
+@attrs.define
+class Bucket:
+    """Token bucket of one client account."""
+
+    rate: float
+    burst: float
+    tokens: float
+    updated: float
+    grants: dict[GrantId, Outstanding] = attrs.field(factory=dict)
+    waiting: collections.deque[Wish] = attrs.field(factory=collections.deque)
+    recalled: float = -math.inf
+
+    @property
+    def outstanding(self) -> int:
+        """Credit that may still be used by holders."""
+        return sum(grant.left for grant in self.grants.values())
+
+    @property
+    def small(self) -> bool:
+        """Whether the account gets single tokens."""
+        return self.rate < SMALL_RATE or self.burst < SMALL_BURST
+
+    def advance(self, now: float) -> None:
+        """Ends expired grants and adds the tokens due by now."""
+        ended = sorted(
+            (grant.expires, id)
+            for id, grant in self.grants.items()
+            if grant.expires <= now
+        )
+        for expires, id in ended:
+            self._refill(expires)
+            del self.grants[id]
+        self._refill(now)
+
+    def _refill(self, now: float) -> None:
+        if now <= self.updated:
+            return
+        self.tokens += self.rate * (now - self.updated)
+        self.updated = now
+        self.clip()
+
+    def clip(self) -> None:
+        """Restores the invariant after tokens or the burst changed."""
+        room = max(0.0, self.burst - self.outstanding)
+        self.tokens = min(self.tokens, room)
+
+    def report(self, report: Report) -> None:
+        """Takes what a holder did with a grant; repeated reports are safe."""
+        grant = self.grants.get(report.id)
+        if grant is None:
+            return
+        grant.used = min(max(grant.used, report.used), grant.amount)
+        if report.closed:
+            del self.grants[report.id]
+            self.tokens += grant.left
+            self.clip()
+
+
+class Ledger:
+    """Buckets of the client accounts of one shard.
+
+    Attributes:
+        buckets: Bucket of each account that was used.
+        epoch: Epoch of the owner.
+
+    Args:
+        epoch: Epoch of the owner.
+        issue_from: Time from which no credit of a former owner is live.
+        fresh: Whether the shard had no former owner; buckets then start full.
+    """
+
+    def __init__(self, epoch: int, issue_from: float, fresh: bool = False):
+        self.buckets: dict[str, Bucket] = {}
+        self.epoch = epoch
+        self._issue_from = issue_from
+        self._fresh = fresh
+        self._serial = itertools.count(1)
+        self._wishes = itertools.count(1)
+
+    def bucket(self, now: float, account: config_model.ClientAccount) -> Bucket:
+        """Returns the bucket of an account, up to date."""
+        bucket = self.buckets.get(account.id)
+        if bucket is None:
+            tokens = account.burst if self._fresh else 0.0
+            start = now if self._fresh else self._issue_from
+            bucket = Bucket(account.rate, account.burst, tokens, start)
+            self.buckets[account.id] = bucket
+        bucket.advance(now)
+        bucket.rate, bucket.burst = account.rate, account.burst
+        bucket.clip()
+        return bucket
+
+    def ask(
+        self,
+        now: float,
+        account: config_model.ClientAccount,
+        holder: str,
+        need: int,
+        want: int,
+        wait: float,
+        reports: tuple[Report, ...] = (),
+    ) -> int:
+        """Takes a holder's request for credit; returns its number.
+
+        Args:
+            now: Seconds.
+            account: Account with its rate and burst in force.
+            holder: Instance that asks.
+            need: Requests that wait at the holder.
+            want: Further credit that it expects to use.
+            wait: Seconds that the oldest of these requests may still wait.
+            reports: Use of earlier grants.
+        """
+        bucket = self.bucket(now, account)
+        for report in reports:
+            bucket.report(report)
+        wish = Wish(next(self._wishes), holder, need, want, now + wait)
+        bucket.waiting.append(wish)
+        return wish.number
+
+    def answer(
+        self, now: float, account: config_model.ClientAccount, ends: float
+    ) -> list[tuple[int, Grant]]:
+        """Answers the requests for which there are tokens or no time left.
+
+        Args:
+            now: Seconds.
+            account: Account with its rate and burst in force.
+            ends: Time at which the owner's authority ends.
+        """
+        bucket = self.bucket(now, account)
+        answers = []
+        life = min(GRANT_SECONDS, ends - now)
+        if life < SHORTEST_GRANT_SECONDS or now < self._issue_from:
+            life = 0.0
+        for wish in list(bucket.waiting):
+            whole = int(bucket.tokens + EPSILON) if life else 0
+            amount = min(wish.need, whole)
+            if wish.need and not amount and now < wish.until:
+                continue
+            if amount == wish.need and life > SHORTEST_AHEAD_SECONDS:
+                amount += self._ahead(bucket, wish.want, whole - amount)
+            bucket.waiting.remove(wish)
+            answers.append(
+                (wish.number, self._grant(now, bucket, wish, amount, life))
+            )
+        return answers
+
+    def recall(self, now: float, account: str) -> list[str]:
+        """Returns the holders to be asked for credit that others wait for."""
+        bucket = self.buckets.get(account)
+        if bucket is None or now < bucket.recalled + RECALL_SECONDS:
+            return []
+        if not any(wish.need for wish in bucket.waiting):
+            return []
+        holders = {grant.holder for grant in bucket.grants.values()}
+        if holders:
+            bucket.recalled = now
+        return sorted(holders)
+
+    def report(
+        self,
+        now: float,
+        account: config_model.ClientAccount,
+        reports: tuple[Report, ...],
+    ) -> None:
+        """Takes what a holder did with its grants."""
+        bucket = self.bucket(now, account)
+        for report in reports:
+            bucket.report(report)
+
+    def waits(self, account: str) -> bool:
+        """Tells whether requests for credit wait for tokens."""
+        bucket = self.buckets.get(account)
+        return bucket is not None and bool(bucket.waiting)
+
+    def drop_waiting(self) -> list[int]:
+        """Forgets the waiting requests and returns their numbers."""
+        numbers = []
+        for bucket in self.buckets.values():
+            numbers += [wish.number for wish in bucket.waiting]
+            bucket.waiting.clear()
+        return numbers
+
+    def export(self, now: float) -> dict:
+        """Returns the state for a successor; times are relative to now."""
+        result = {}
+        for account, bucket in self.buckets.items():
+            bucket.advance(now)
+            result[account] = {
+                "rate": bucket.rate,
+                "burst": bucket.burst,
+                "tokens": bucket.tokens,
+                "grants": [
+                    [
+                        *id,
+                        each.holder,
+                        each.amount,
+                        each.expires - now,
+                        each.used,
+                    ]
+                    for id, each in bucket.grants.items()
+                ],
+            }
+        return {
+            "buckets": result,
+            "fresh": self._fresh,
+            "issue_in": max(0.0, self._issue_from - now),
+        }
+
+    @classmethod
+    def restore(cls, now: float, epoch: int, state: dict) -> "Ledger":
+        """Builds the ledger of a successor from `export`."""
+        ledger = cls(epoch, now + state["issue_in"], state["fresh"])
+        for account, data in state["buckets"].items():
+            bucket = Bucket(data["rate"], data["burst"], data["tokens"], now)
+            for first, second, holder, amount, left, used in data["grants"]:
+                bucket.grants[(first, second)] = Outstanding(
+                    holder, amount, now + left, used
+                )
+            ledger.buckets[account] = bucket
+        return ledger
+
+    def _ahead(self, bucket: Bucket, want: int, spare: int) -> int:
+        if bucket.small:
+            return 0
+        keep = bucket.burst * (1 - AHEAD_SHARE)
+        room = bucket.burst * AHEAD_SHARE - bucket.outstanding
+        return max(0, min(want, int(spare - keep), int(room)))
+
+    def _grant(
+        self,
+        now: float,
+        bucket: Bucket,
+        wish: Wish,
+        amount: int,
+        life: float,
+    ) -> Grant:
+        id = (self.epoch, next(self._serial))
+        if amount:
+            bucket.tokens -= amount
+            bucket.grants[id] = Outstanding(wish.holder, amount, now + life)
+        missing = 1 + sum(each.need for each in bucket.waiting)
+        retry_after = missing / bucket.rate if bucket.rate > 0 else 60.0
+        return Grant(id, amount, life, bucket.small, min(60.0, retry_after))
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of shard ownership, rates and idempotency records."""
