--- /dev/null
+++ b/src/cicadafront/limits/assembly.py
@@ -0,0 +1,110 @@
+"""Puts the parts of this package together for one process."""
+
+import random
+from typing import Any
+
+from twisted.internet import defer
+from twisted.internet import error as internet_error
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory, Protocol
+
+from cicadafront import ports
+from cicadafront.limits import calls, claims, records
+from cicadafront.limits.admission import AccountLookup, AdmissionService
+from cicadafront.limits.outcomes import OutcomeService
+from cicadafront.limits.ownership import Ownership
+from cicadafront.limits.records_service import RecordsService
+from cicadafront.limits.service import OwnershipService, Prober
+
+PROBE_SECONDS = 1.0
+
+
+class Limits:
+    """Rates, records and shard ownership of one process.
+
+    Attributes:
+        ownership: Shards that this process owns.
+        admission: Implements `ports.Admission`.
+        outcomes: Implements `ports.OutcomeRecords`.
+        records: Records of the shards that this process owns.
+    """
+
+    def __init__(
+        self,
+        info: ports.InstanceInfo,
+        store: ports.Store,
+        peers: ports.PeerCalls,
+        directory: ports.Directory,
+        timer: calls.Timer,
+        rng: random.Random,
+        prober: Prober,
+        accounts: AccountLookup,
+        unix_offset: float = 0.0,
+        most_record_bytes: int = records.MOST_BYTES,
+    ):
+        """Creates all parts.
+
+        Args:
+            info: This process; its listener must be open by now.
+            store: Store.
+            peers: Peer calls; a call to itself runs locally.
+            directory: Known instances.
+            timer: Clock; see `calls.ReactorTimer`.
+            rng: Random source of jitter.
+            prober: Tells whether an address refuses connections.
+            accounts: Finds an account in the configuration in force.
+            unix_offset: Unix time minus the time of the clock, in seconds.
+            most_record_bytes: Memory bound of the records.
+        """
+        me = claims.Member(info.id, info.incarnation, *info.peer_address)
+        core = Ownership(me, info.data_centre, rng, unix_offset)
+        self.ownership = OwnershipService(
+            core, store, peers, directory, timer, rng, prober
+        )
+        owners = calls.OwnerCalls(info.id, directory, peers, timer, rng)
+        self.admission = AdmissionService(
+            self.ownership, owners, peers, timer, accounts
+        )
+        self.records = RecordsService(
+            self.ownership,
+            store,
+            peers,
+            timer,
+            rng,
+            unix_offset,
+            most_record_bytes,
+        )
+        self.outcomes = OutcomeService(info.incarnation, owners, timer)
+
+    def start(self) -> None:
+        """Starts to claim shards."""
+        self.ownership.start()
+        self.admission.start()
+        self.records.start()
+
+    def stop(self) -> "defer.Deferred[None]":
+        """Hands over all shards; the listener stays open until it fires."""
+        return self.ownership.stop()
+
+
+class TcpProber:
+    """Tells whether a TCP address refuses connections."""
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+
+    @defer.inlineCallbacks
+    def __call__(self, host: str, port: int):
+        """Returns True only if the connection was refused."""
+        endpoint = TCP4ClientEndpoint(
+            self._reactor, host, port, timeout=PROBE_SECONDS
+        )
+        try:
+            factory: Any = Factory.forProtocol(Protocol)
+            protocol = yield endpoint.connect(factory)
+        except internet_error.ConnectionRefusedError:
+            return True
+        except internet_error.ConnectError:
+            return False
+        protocol.transport.loseConnection()
+        return False
--- /dev/null
+++ b/src/cicadafront/limits/outcomes.py
@@ -0,0 +1,157 @@
+"""Idempotency records over the fleet: client side of `ports.OutcomeRecords`."""
+
+import itertools
+
+import attrs
+from twisted.internet import defer
+
+from cicadafront import errors, ports
+from cicadafront.limits import calls, records_codec, shards
+
+BEGIN = "records.begin"
+CLOSE = "records.close"
+# An owner answers a begin that has to wait at the latest after this time.
+BEGIN_WAIT_SECONDS = 1.0
+BEGIN_CALL_SECONDS = 2.0
+# A begin is refused when no owner has answered for this long.
+FIND_SECONDS = 5.0
+# The end of a request is reported until an owner has taken it.
+CLOSE_SECONDS = 60.0
+
+
+class OutcomeService:
+    """Implements `ports.OutcomeRecords`."""
+
+    def __init__(
+        self,
+        incarnation: int,
+        owners: calls.OwnerCalls,
+        timer: calls.Timer,
+    ):
+        self._owners = owners
+        self._timer = timer
+        self._attempts = itertools.count(1)
+        self._prefix = f"{owners.me}/{incarnation}/"
+        self._digests: dict[ports.Ticket, bytes] = {}
+
+    @defer.inlineCallbacks
+    def begin(self, account: str, key: str, digest: bytes, timeout: float):
+        """Asks for the right to run; waits for an outcome still running.
+
+        The same attempt is repeated until an owner answers, so that a lost
+        answer leads neither to a second ticket nor to none.
+        """
+        shard = shards.shard_of(account)
+        attempt = f"{self._prefix}{next(self._attempts)}"
+        end = self._timer.seconds() + timeout
+        while True:
+            left = end - self._timer.seconds()
+            body = {
+                "account": account,
+                "key": key,
+                "digest": digest.hex(),
+                "attempt": attempt,
+                "timeout": left,
+            }
+            try:
+                if left <= 0:
+                    raise errors.CallFailedError("the request's time is over")
+                reply, _ = yield self._owners.call(
+                    shard,
+                    BEGIN,
+                    body,
+                    min(FIND_SECONDS, left),
+                    BEGIN_CALL_SECONDS,
+                )
+            except errors.CallFailedError as error:
+                self._withdraw(shard, account, key, attempt)
+                raise errors.RecordOwnerUnavailableError(
+                    "the owner of the idempotency records does not answer; "
+                    "retry with the same key",
+                    executed=errors.Executed.UNKNOWN,
+                    retry_after=5.0,
+                ) from error
+            answer = self._answer(reply, account, digest)
+            if answer is not None:
+                return answer
+
+    def finish(self, ticket: ports.Ticket, outcome: ports.Outcome) -> None:
+        """Records the outcome."""
+        data = records_codec.outcome_data(outcome)
+        self._close(ticket, "finish", data)
+
+    def release(self, ticket: ports.Ticket) -> None:
+        """Removes the record: the request certainly did not run."""
+        self._close(ticket, "release", None)
+
+    def abandon(self, ticket: ports.Ticket) -> None:
+        """Marks the outcome as unknown."""
+        self._close(ticket, "abandon", None)
+
+    def _answer(
+        self, reply: dict, account: str, digest: bytes
+    ) -> ports.Start | ports.Replay | None:
+        match reply["kind"]:
+            case "start":
+                ticket = ports.Ticket(**reply["ticket"])
+                self._digests[ticket] = digest
+                return ports.Start(ticket)
+            case "replay":
+                outcome = records_codec.outcome(reply["outcome"])
+                return ports.Replay(outcome)
+            case "running":
+                return None
+            case kind:
+                raise refusal(kind, account)
+
+    def _withdraw(
+        self, shard: int, account: str, key: str, attempt: str
+    ) -> None:
+        body = {
+            "how": "withdraw",
+            "account": account,
+            "key": key,
+            "attempt": attempt,
+        }
+        self._send_close(shard, body)
+
+    def _close(
+        self, ticket: ports.Ticket, how: str, outcome: dict | None
+    ) -> None:
+        digest = self._digests.pop(ticket, b"")
+        body = {
+            "how": how,
+            "account": ticket.account,
+            "ticket": attrs.asdict(ticket),
+            "digest": digest.hex(),
+            "outcome": outcome,
+        }
+        self._send_close(ticket.shard, body)
+
+    def _send_close(self, shard: int, body: dict) -> None:
+        sent = self._owners.call(shard, CLOSE, body, CLOSE_SECONDS)
+        # Without an answer the record becomes uncertain after a time.
+        sent.addErrback(calls.ignore)
+
+
+def refusal(kind: str, account: str) -> errors.RequestError:
+    """Returns the error for a begin that was refused."""
+    match kind:
+        case "mismatch":
+            return errors.RecordMismatchError(
+                "the idempotency key was used with another request; "
+                "use a new key for a new request"
+            )
+        case "full":
+            return errors.RecordOwnerUnavailableError(
+                f"client account {account!r} has too many idempotency "
+                "records; retry later with the same key",
+                code="records_full",
+                retry_after=60.0,
+            )
+        case _:
+            return errors.OutcomeUnknownError(
+                "an earlier request with this idempotency key may have run; "
+                "check its effect before using a new key",
+                executed=errors.Executed.UNKNOWN,
+            )
--- /dev/null
+++ b/src/cicadafront/limits/records_service.py
@@ -0,0 +1,358 @@
+"""Owner side of idempotency records over the store and peer calls."""
+
+import random
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+
+from cicadafront import errors, ports
+from cicadafront.limits import (
+    actions,
+    calls,
+    claims,
+    journal,
+    outcomes,
+    records,
+    records_codec,
+    shards,
+)
+from cicadafront.limits.records import Record, Records, Refusal, State
+from cicadafront.limits.service import OwnershipService
+from cicadafront.limits.shard import Kind
+
+TICK_SECONDS = 0.05
+STORE_SECONDS = 1.0
+RETRY_SECONDS = (0.5, 1.5)
+# A begin waits this long for the journal or the deputy's confirmation.
+JOURNAL_SECONDS = 5.0
+
+Reply = dict[str, Any]
+
+
+@attrs.define
+class _Journaling:
+    """A begin that must be in the journal before it is answered."""
+
+    shard: int
+    record: Record
+    position: int
+    until: float
+    callers: list["defer.Deferred[bytes]"] = attrs.field(factory=list)
+
+
+@attrs.define
+class _Caller:
+    """A begin that waits for another attempt with the same key."""
+
+    shard: int
+    body: Reply
+    until: float
+    reply: "defer.Deferred[bytes]"
+
+
+class RecordsService:
+    """Serves begins and their ends for the shards that this instance owns.
+
+    Attributes:
+        owned: Records by shard; a shard that is still reading the journals
+            of former owners is absent.
+        journal: Begins of this process.
+    """
+
+    name = "records"
+
+    def __init__(
+        self,
+        ownership: OwnershipService,
+        store: ports.Store,
+        peers: ports.PeerCalls,
+        timer: calls.Timer,
+        rng: random.Random,
+        unix_offset: float = 0.0,
+        most_bytes: int = records.MOST_BYTES,
+    ):
+        self.owned: dict[int, Records] = {}
+        self.journal = journal.Journal(claims.journal_prefix(ownership.core.me))
+        self._memory = records.Memory(most_bytes)
+        self._ownership = ownership
+        self._store = store
+        self._timer = timer
+        self._rng = rng
+        self._unix_offset = unix_offset
+        self._journaling: dict[str, _Journaling] = {}
+        self._callers: list[_Caller] = []
+        self._settling: dict[int, tuple[int, int]] = {}
+        ownership.parts.append(self)
+        peers.register(outcomes.BEGIN, self._serve_begin)
+        peers.register(outcomes.CLOSE, self._serve_close)
+
+    def start(self) -> None:
+        """Starts to write the journal."""
+        self._timer.callLater(TICK_SECONDS, self._tick)
+
+    def acquired(self, event: actions.Acquired, state: Any) -> None:
+        """Opens the records of a shard; after a loss reads the journals."""
+        shard, epoch = event.shard, event.claim.epoch
+        self._settling.pop(shard, None)
+        if event.kind is Kind.FENCE and shard in self.owned:
+            self.owned[shard].epoch = epoch
+            return
+        own = Records(shard, epoch, self._memory)
+        if state is not None:
+            settled = event.claim.outage <= event.claim.settled
+            self._restore(own, state, settled)
+            self.owned[shard] = own
+        elif event.kind is Kind.FRESH:
+            self.owned[shard] = own
+        else:
+            self._read_journals(own, event.claim)
+
+    def lost(self, shard: int) -> None:
+        """Drops the records of a shard."""
+        self._settling.pop(shard, None)
+        own = self.owned.pop(shard, None)
+        self._redirect(shard)
+        if own is not None:
+            own.clear()
+
+    def export(self, shard: int) -> Any:
+        """Returns the records for a hand-over."""
+        self._redirect(shard)
+        own = self.owned.get(shard)
+        if own is None:
+            return None
+        now = self._timer.seconds()
+        return {
+            "records": [
+                records_codec.record_data(now, each) for each in own.records()
+            ],
+            "journaled": [each.hex() for each in own.journaled],
+        }
+
+    def _restore(self, own: Records, state: Any, settled: bool) -> None:
+        now = self._timer.seconds()
+        for data in state["records"]:
+            own.restore(records_codec.record(now, data))
+        own.journaled = {bytes.fromhex(each) for each in state["journaled"]}
+        if not settled:
+            # Begins of an outage may be in no journal yet.
+            for digest in own.digests():
+                self.journal.append(own.shard, digest)
+
+    @defer.inlineCallbacks
+    def _read_journals(self, own: Records, claim: claims.Claim):
+        for prefix, _ in claim.journals:
+            segments = None
+            while segments is None:
+                state = self._ownership.core.shards[own.shard]
+                if not state.held or state.claim is None:
+                    return
+                if state.claim.epoch != own.epoch:
+                    return
+                segments = yield self._list(prefix)
+            for item in segments.values():
+                own.journaled.update(
+                    digest
+                    for shard, digest in journal.entries(item.value)
+                    if shard == own.shard
+                )
+        state = self._ownership.core.shards[own.shard]
+        if state.held and state.claim and state.claim.epoch == own.epoch:
+            self.owned[own.shard] = own
+
+    @defer.inlineCallbacks
+    def _list(self, prefix: str):
+        try:
+            found = yield calls.bounded(
+                self._store.list(prefix), self._timer, STORE_SECONDS
+            )
+        except (errors.CicadafrontError, defer.TimeoutError):
+            yield calls.pause(self._timer, self._rng.uniform(*RETRY_SECONDS))
+            return None
+        return found
+
+    def _unclean(self, shard: int) -> bool:
+        claim = self._ownership.core.shards[shard].claim
+        if claim is None or not claim.unclean_at:
+            return False
+        unix = self._timer.seconds() + self._unix_offset
+        return unix < claim.unclean_at + records.RECORD_SECONDS
+
+    def _acting(self, shard: int) -> Records | None:
+        if self._ownership.acts(shard) is None:
+            return None
+        return self.owned.get(shard)
+
+    def _serve_begin(self, _caller: str, body: bytes):
+        data = calls.unpack(body)
+        shard = shards.shard_of(data["account"])
+        reply: defer.Deferred[bytes] = defer.Deferred()
+        until = self._timer.seconds() + outcomes.BEGIN_WAIT_SECONDS
+        self._begin(_Caller(shard, data, until, reply))
+        return reply
+
+    def _begin(self, caller: _Caller) -> None:
+        own = self._acting(caller.shard)
+        if own is None:
+            caller.reply.callback(self._ownership.redirect(caller.shard))
+            return
+        data, now = caller.body, self._timer.seconds()
+        begun = own.begin(
+            now,
+            data["account"],
+            data["key"],
+            bytes.fromhex(data["digest"]),
+            data["attempt"],
+            data["timeout"],
+            self._unclean(caller.shard),
+        )
+        match begun:
+            case Refusal.RUNNING if now < caller.until:
+                self._callers.append(caller)
+            case Refusal():
+                self._answer(caller.reply, {"kind": begun.value})
+            case ports.Replay(outcome):
+                data = records_codec.outcome_data(outcome)
+                self._answer(caller.reply, {"kind": "replay", "outcome": data})
+            case Record(state=State.RUNNING):
+                self._start(caller.reply, begun)
+            case Record():
+                self._journal(caller, begun)
+
+    def _answer(self, reply: "defer.Deferred[bytes]", data: Reply) -> None:
+        reply.callback(calls.pack(data))
+
+    def _start(self, reply: "defer.Deferred[bytes]", record: Record) -> None:
+        ticket = attrs.asdict(record.ticket)
+        self._answer(reply, {"kind": "start", "ticket": ticket})
+
+    def _journal(self, caller: _Caller, record: Record) -> None:
+        entry = self._journaling.get(record.attempt)
+        if entry is None:
+            digest = journal.digest(record.ticket.account, record.ticket.key)
+            position = self.journal.append(caller.shard, digest)
+            until = self._timer.seconds() + JOURNAL_SECONDS
+            entry = _Journaling(caller.shard, record, position, until)
+            self._journaling[record.attempt] = entry
+        entry.callers.append(caller.reply)
+        self._progress()
+
+    def _progress(self) -> None:
+        """Answers begins whose journal entry is stored or not needed."""
+        core, now = self._ownership.core, self._timer.seconds()
+        for attempt, entry in list(self._journaling.items()):
+            own = self._acting(entry.shard)
+            stored = entry.position <= self.journal.stored
+            memory = self.journal.failing and core.memory_only(now, entry.shard)
+            if own is not None and (stored or memory):
+                own.started(entry.record)
+                del self._journaling[attempt]
+                for reply in entry.callers:
+                    self._start(reply, entry.record)
+            elif own is None or now >= entry.until:
+                self._give_up(attempt)
+
+    def _give_up(self, attempt: str) -> None:
+        entry = self._journaling.pop(attempt)
+        own = self.owned.get(entry.shard)
+        if own is not None:
+            own.cancel(entry.record)
+        for reply in entry.callers:
+            reply.callback(self._ownership.redirect(entry.shard))
+
+    def _redirect(self, shard: int) -> None:
+        for attempt, entry in list(self._journaling.items()):
+            if entry.shard == shard:
+                self._give_up(attempt)
+        leaving = [each for each in self._callers if each.shard == shard]
+        self._callers = [each for each in self._callers if each.shard != shard]
+        for caller in leaving:
+            caller.reply.callback(self._ownership.redirect(shard))
+
+    def _serve_close(self, _caller: str, body: bytes) -> bytes:
+        data = calls.unpack(body)
+        shard = shards.shard_of(data["account"])
+        own = self._acting(shard)
+        if own is None:
+            return self._ownership.redirect(shard)
+        if data["how"] == "withdraw":
+            self._withdraw(own, data)
+        else:
+            self._close(own, data)
+        self._wake(shard)
+        return b"{}"
+
+    def _withdraw(self, own: Records, data: Reply) -> None:
+        own.withdraw(data["account"], data["key"], data["attempt"])
+        entry = self._journaling.pop(data["attempt"], None)
+        for reply in entry.callers if entry is not None else ():
+            self._answer(reply, {"kind": Refusal.RELEASED.value})
+
+    def _close(self, own: Records, data: Reply) -> None:
+        ticket = ports.Ticket(**data["ticket"])
+        match data["how"]:
+            case "finish":
+                own.finish(
+                    self._timer.seconds(),
+                    ticket,
+                    bytes.fromhex(data["digest"]),
+                    records_codec.outcome(data["outcome"]),
+                    self._unclean(ticket.shard),
+                )
+            case "release":
+                own.release(ticket)
+            case "abandon":
+                own.abandon(ticket)
+
+    def _wake(self, shard: int) -> None:
+        waiting = [each for each in self._callers if each.shard == shard]
+        self._callers = [each for each in self._callers if each.shard != shard]
+        for caller in waiting:
+            self._begin(caller)
+
+    def _tick(self) -> None:
+        self._timer.callLater(TICK_SECONDS, self._tick)
+        now = self._timer.seconds()
+        late = [each for each in self._callers if now >= each.until]
+        self._callers = [each for each in self._callers if now < each.until]
+        for caller in late:
+            self._begin(caller)
+        write = self.journal.next_write(now)
+        if write is not None:
+            self._write(write)
+        for key in self.journal.expired(now):
+            self._store.delete(key).addErrback(calls.ignore)
+        self._progress()
+        self._settle(now)
+
+    @defer.inlineCallbacks
+    def _write(self, write: journal.Write):
+        try:
+            version = yield calls.bounded(
+                self._store.put(
+                    write.key, write.value, expected=write.expected
+                ),
+                self._timer,
+                STORE_SECONDS,
+            )
+        except (errors.CicadafrontError, defer.TimeoutError):
+            delay = self._rng.uniform(*RETRY_SECONDS)
+            self.journal.failed(self._timer.seconds(), delay)
+        else:
+            self.journal.written(version)
+        self._progress()
+
+    def _settle(self, now: float) -> None:
+        """Tells the deputy, by the store, that the journal is complete."""
+        for shard in self.owned:
+            if shard not in self._settling:
+                outage = self._ownership.core.settle(now, shard)
+                if outage is not None:
+                    position = self.journal.appended
+                    self._settling[shard] = (outage, position)
+        for shard, (outage, position) in list(self._settling.items()):
+            if self.journal.stored >= position:
+                del self._settling[shard]
+                core = self._ownership.core
+                self._ownership.run(core.settled(now, shard, outage))
