--- /dev/null
+++ b/src/cicadafront/emulator/fleet.py
@@ -0,0 +1,108 @@
+"""A fleet of `limits` stacks on a virtual clock, for tests and benches."""
+
+import random
+from collections.abc import Callable
+
+from cicadafront import ports
+from cicadafront.config import model as config_model
+from cicadafront.emulator import virtual
+from cicadafront.limits import assembly, shards
+
+
+class Node:
+    """One start of an instance with its `limits` stack."""
+
+    def __init__(self, fleet: "Fleet", info: ports.InstanceInfo, rate: float):
+        self.process = process = virtual.Process(fleet.world, info, rate)
+        process.peers = virtual.Peers(process)
+        self.limits = assembly.Limits(
+            info,
+            virtual.StoreClient(process, fleet.store),
+            process.peers,
+            virtual.View(process),
+            process,
+            random.Random(f"{fleet.seed}/{info.id}/{info.incarnation}"),
+            virtual.prober(process),
+            fleet.accounts.get,
+            unix_offset=1.7e9 - process.seconds() + fleet.world.clock.seconds(),
+            **fleet.options,
+        )
+        self.limits.start()
+
+    def acts(self, shard: int) -> bool:
+        """Tells whether the process would act as owner at this instant."""
+        if not self.process.running:
+            return False
+        return self.limits.ownership.acts(shard) is not None
+
+
+class Fleet:
+    """Several instances and the store.
+
+    Attributes:
+        world: Virtual time and network.
+        store: Store.
+        nodes: Running or crashed node of each instance.
+        accounts: Configuration in force on all instances.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        instances: int,
+        data_centres: int = 3,
+        drift: float = 0.0,
+        accounts: tuple[config_model.ClientAccount, ...] = (),
+        **options,
+    ):
+        self.seed = seed
+        self.world = virtual.World(seed)
+        self.store = virtual.StoreServer(self.world)
+        self.accounts = {account.id: account for account in accounts}
+        self.options = options
+        self.nodes: dict[str, Node] = {}
+        self._drift = drift
+        self._incarnations = 0
+        for number in range(instances):
+            self.boot(f"i{number}", f"dc{number % data_centres}")
+
+    def boot(self, id: str, data_centre: str) -> Node:
+        """Starts a process, in place of one that has crashed."""
+        self._incarnations += 1
+        info = ports.InstanceInfo(
+            id, self._incarnations, data_centre, (id, self._incarnations)
+        )
+        rate = 1 + self.world.rng.choice([-1, 0, 1]) * self._drift
+        node = self.nodes[id] = Node(self, info, rate)
+        return node
+
+    def restart(self, id: str) -> Node:
+        """Starts an instance again, as a new process."""
+        old = self.nodes[id]
+        old.process.crash()
+        return self.boot(id, old.process.info.data_centre)
+
+    def acting(self, shard: int) -> list[str]:
+        """Returns the instances that act as owner of a shard now."""
+        return [id for id, node in self.nodes.items() if node.acts(shard)]
+
+    def owner(self, account: str) -> str | None:
+        """Returns the instance that acts for an account now."""
+        acting = self.acting(shards.shard_of(account))
+        return acting[0] if acting else None
+
+    def advance(
+        self, seconds: float, check: Callable[[], None] | None = None
+    ) -> None:
+        """Runs all events of a span of virtual time."""
+        self.world.advance(seconds, check)
+
+    def split(self, some: set[str], others: set[str]) -> None:
+        """Lets nothing pass from some to others (one way)."""
+        for source in some:
+            for target in others:
+                self.world.blocked.add((source, target))
+
+    def heal(self) -> None:
+        """Ends all partitions."""
+        self.world.blocked.clear()
