Judge targets by their real work against the rest of the service

Cause: gray targets pass health checks; only real outcomes show them. Each kind of evidence (broken answers, 5xx, slow answers, stalls of running requests) is a cumulative sum. Agents exchange summaries of at most 44 bytes a target. An alarm is compared with reports of the other targets that cover the same seconds, so an even slowdown condemns nobody. Conclusion: the comparison over the same seconds is what separates overload from one gray target.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision modules on a virtual clock."""
--- /dev/null
+++ b/bench/loop.py
@@ -0,0 +1,41 @@
+"""A small event loop on virtual time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+
+
+class Loop:
+    """Runs callbacks in the order of their times.
+
+    Attributes:
+        now: Virtual time, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = itertools.count()
+
+    def later(self, delay: float, call: Callable[[], None]) -> None:
+        """Calls back after a delay in seconds."""
+        heapq.heappush(
+            self._events,
+            (self.now + max(0.0, delay), next(self._serial), call),
+        )
+
+    def every(self, period: float, call: Callable[[], None]) -> None:
+        """Calls back at a fixed period, first after one period."""
+
+        def again() -> None:
+            call()
+            self.later(period, again)
+
+        self.later(period, again)
+
+    def run(self, until: float) -> None:
+        """Runs all callbacks up to a time."""
+        while self._events and self._events[0][0] <= until:
+            self.now, _, call = heapq.heappop(self._events)
+            call()
+        self.now = until
--- /dev/null
+++ b/src/cicadafront/health/detector.py
@@ -0,0 +1,373 @@
+"""Judges one target by its real work.
+
+Each kind of evidence is a cumulative sum that rises with bad outcomes and
+falls with good ones, so that the time to a verdict depends on the number of
+outcomes and not on a window. A verdict of gray also needs a report of most
+other targets that is younger than the alarm: when the whole service degrades,
+their evidence rises as well and nobody is condemned.
+"""
+
+import collections
+import math
+
+import attrs
+
+from cicadafront.health import evidence, outcomes
+from cicadafront.health import reference as references
+from cicadafront.health.evidence import Signal
+
+# Samples per route from which a summary's quantiles are taken.
+SAMPLES = 64
+MAX_ROUTES = 32
+# A target that starts cold is slow for this time without being gray.
+COLD_SECONDS = 10.0
+# A slow answer exceeds the others' p90 by this factor and this time; targets
+# of one service differ in speed, and on fast routes by scheduling alone.
+SLOW_FACTOR = 1.5
+SLOW_MARGIN_SECONDS = 0.005
+# A slow target's pace exceeds that of the others by exp(margin + noise /
+# sqrt(n)) for n latencies. The upper quartile of n lognormal latencies (sigma
+# 0.5) varies by about 0.68 / sqrt(n); the noise term is three times that.
+PACE_MARGIN = 0.45
+PACE_NOISE = 2.0
+PACE_SAMPLES = 64
+MIN_PACE_SAMPLES = 4
+# Pace is measured against a baseline that all agents learn alike and that
+# hardly moves while a slowdown sets in.
+BASELINE_SECONDS = 30.0
+# A running request of a stalled target is older than this many times the
+# latency of requests that the others run or ran in the same time.
+STALL_PACE_FACTOR = 2.0
+# A running request is evidence once it is this many reference p99 old.
+STALL_FACTOR = 4.0
+STALL_MIN_SECONDS = 0.25
+# Each further multiple of the limit counts again, up to this many, while no
+# request completes; a single long request never condemns a target
+# (3 * 2.7 < 12).
+STALL_STEPS = 3
+STALL_EVIDENCE = 2.7
+# Others' evidence counts double: at the moment at which the first of several
+# evenly slow targets raises its alarm, the others lag behind by chance.
+OTHERS_FACTOR = 2.0
+# Evidence needed when no other target has had work to compare with.
+ALONE_FACTOR = 1.5
+# Reports of the others that are older are not compared with the present:
+# the evidence against an evenly slow service grows by the tenth of a second.
+FRESH_SECONDS = 0.2
+# Broken answers condemn a target without fresh reports after this time.
+FAULT_PATIENCE_SECONDS = 0.3
+RECENT_SECONDS = 4.0
+LOWEST_SUSPICIOUS_WEIGHT = 0.25
+
+
+@attrs.frozen
+class Healthy:
+    """Nothing speaks against the target."""
+
+
+@attrs.frozen
+class Suspicious:
+    """Some evidence; the target should get less work.
+
+    Attributes:
+        weight: Share of the usual load.
+        ask: If not None, reports of the other targets are needed, on their
+            pace in this many last seconds.
+    """
+
+    weight: float
+    ask: float | None = None
+
+
+@attrs.frozen
+class Gray:
+    """The target must be ejected."""
+
+    reason: str
+
+
+Verdict = Healthy | Suspicious | Gray
+
+
+@attrs.define
+class _Running:
+    started: float
+    route: bytes
+
+
+class Detector:
+    """Collects outcomes of one target.
+
+    Attributes:
+        target: Id of the target.
+        alarm: Evidence needed for a verdict of gray; lower while a target
+            that was ejected returns.
+    """
+
+    def __init__(self, target: str, warm_since: float = -math.inf) -> None:
+        self.target = target
+        self.alarm = evidence.ALARM
+        self._warm_at = warm_since + COLD_SECONDS
+        self._running: dict[int, _Running] = {}
+        self._started: collections.deque[float] = collections.deque(maxlen=64)
+        self._routes: dict[bytes, collections.deque[float]] = {}
+        # Start and latency over baseline.
+        self._latest: collections.deque[tuple[float, float]] = (
+            collections.deque(maxlen=PACE_SAMPLES)
+        )
+        self._completed_at = -math.inf
+        self._reference = references.Reference()
+        self._baselines: dict[bytes, float] = {}
+        self._judged_at = 0.0
+        self._sums: dict[Signal, evidence.Cusum] = {}
+        self._alarms: dict[Signal, float] = {}
+        self.reset()
+
+    def reset(self, alarm: float = evidence.ALARM) -> None:
+        """Forgets all evidence, as after an ejection."""
+        self.alarm = alarm
+        self._sums = {
+            Signal.FAULTS: evidence.Cusum(0.02, 0.3),
+            Signal.ERRORS: evidence.Cusum(0.02, 0.3),
+            Signal.SLOW: evidence.Cusum(0.1, 0.6),
+        }
+        self._alarms = {}
+        self._running.clear()
+        self._latest.clear()
+
+    def started(self, now: float, request: outcomes.Work) -> None:
+        """Counts a request from when its last byte went to the target."""
+        key = references.route_key(request.route)
+        self._running[request.serial] = _Running(now, key)
+        self._started.append(now)
+
+    def finished(
+        self, now: float, request: outcomes.Work, outcome: outcomes.Outcome
+    ) -> None:
+        """Counts the outcome; unknown requests (see `reset`) are ignored."""
+        running = self._running.pop(request.serial, None)
+        if running is None:
+            return
+        match outcome:
+            case outcomes.Failed():
+                self._sums[Signal.FAULTS].add(now, True)
+            case outcomes.Completed(status, seconds):
+                self._completed(now, running, status, seconds)
+
+    def _completed(
+        self, now: float, running: _Running, status: int, seconds: float
+    ) -> None:
+        # A caller's mistakes must neither condemn nor acquit a target.
+        if 400 <= status < 500:
+            return
+        self._completed_at = now
+        self._sums[Signal.FAULTS].add(now, False)
+        self._sums[Signal.ERRORS].add(now, status >= 500)
+        if status >= 500:
+            return
+        route = running.route
+        samples = self._routes.get(route)
+        if samples is None:
+            if len(self._routes) >= MAX_ROUTES:
+                del self._routes[next(iter(self._routes))]
+            samples = self._routes[route] = collections.deque(maxlen=SAMPLES)
+        samples.append(seconds)
+        if route in self._baselines:
+            ratio = seconds / self._baselines[route]
+            self._latest.append((running.started, ratio))
+        usual = self._reference.routes.get(route)
+        if usual is not None and now >= self._warm_at:
+            limit = max(
+                SLOW_FACTOR * usual.p90, usual.p90 + SLOW_MARGIN_SECONDS
+            )
+            self._sums[Signal.SLOW].add(now, seconds > limit, running.started)
+
+    def level(self, now: float, signal: Signal) -> float:
+        """Returns the evidence of one kind."""
+        if signal is Signal.STALLED:
+            return self._stalled(now)
+        return self._sums[signal].at(now)
+
+    def _stalled(self, now: float, pace: float = 0.0) -> float:
+        steps = 0
+        for running in self._running.values():
+            usual = self._reference.routes.get(running.route)
+            if usual is None:
+                continue
+            limit = max(
+                STALL_FACTOR * usual.p99,
+                STALL_MIN_SECONDS,
+                STALL_PACE_FACTOR * pace * self._baselines[running.route],
+            )
+            found = min(STALL_STEPS, int((now - running.started) / limit))
+            if self._completed_at >= running.started + limit:
+                found = min(found, 1)
+            steps += found
+        return min(evidence.LEVEL_CAP, steps * STALL_EVIDENCE)
+
+    def _onset(self, signal: Signal) -> float:
+        if signal is Signal.STALLED:
+            return min(running.started for running in self._running.values())
+        return self._sums[signal].onset
+
+    def _paces(self, now: float, since: float) -> list[float]:
+        """Returns latencies over the baseline of requests since a time."""
+        found = [ratio for time, ratio in self._latest if time >= since]
+        for running in self._running.values():
+            baseline = self._baselines.get(running.route)
+            age = now - running.started
+            if (
+                baseline
+                and running.started >= since
+                and age > SLOW_FACTOR * baseline
+            ):
+                found.append(age / baseline)
+        return found
+
+    def _take(self, now: float, reference: references.Reference) -> None:
+        self._reference = reference
+        share = min(1.0, max(0.0, now - self._judged_at) / BASELINE_SECONDS)
+        self._judged_at = now
+        for route, usual in reference.routes.items():
+            known = self._baselines.get(route, usual.p90)
+            self._baselines[route] = known + share * (usual.p90 - known)
+        for route in self._baselines.keys() - reference.routes.keys():
+            del self._baselines[route]
+
+    def verdict(self, now: float, reference: references.Reference) -> Verdict:
+        """Judges the target; called at least every 100 ms while it works."""
+        self._take(now, reference)
+        worst: Verdict = Healthy()
+        for signal in Signal:
+            found = self._judge(now, signal, reference)
+            if isinstance(found, Gray):
+                return found
+            worst = _worse(worst, found)
+        return worst
+
+    def _judge(
+        self, now: float, signal: Signal, others: references.Reference
+    ) -> Verdict:
+        level = self.level(now, signal)
+        if level < self.alarm / 2:
+            self._alarms.pop(signal, None)
+            return Healthy()
+        if level < self.alarm:
+            usual = others.level(signal, now - FRESH_SECONDS) or 0.0
+            return self._suspicious(level - OTHERS_FACTOR * usual)
+        alarmed = self._alarms.setdefault(signal, now)
+        since = max(alarmed, now - FRESH_SECONDS)
+        if not others.others or not others.fresh(since):
+            return self._without_reports(now, signal, others)
+        if signal in (Signal.SLOW, Signal.STALLED):
+            return self._judge_pace(now, signal, since, others)
+        median = others.level(signal, since)
+        if median is None and signal is Signal.ERRORS:
+            return Healthy()
+        if median is None:
+            needed = ALONE_FACTOR * self.alarm
+        else:
+            needed = self.alarm + OTHERS_FACTOR * median
+        if level >= needed:
+            return Gray(signal.name.lower())
+        return self._suspicious(level - needed + self.alarm)
+
+    def _judge_pace(
+        self,
+        now: float,
+        signal: Signal,
+        since: float,
+        others: references.Reference,
+    ) -> Verdict:
+        usual = others.pace(since)
+        if usual is None:
+            if others.witnesses(since):
+                # The others had work, but their reports do not tell its pace.
+                return self._ask(now, signal)
+            usual = 1.0
+        if signal is Signal.STALLED:
+            gray = self._stalled(now, usual) >= self.alarm
+        else:
+            gray = self._slower(now, usual)
+        return Gray(signal.name.lower()) if gray else Healthy()
+
+    def _slower(self, now: float, usual: float) -> bool:
+        paces = self._paces(now, self._onset(Signal.SLOW))
+        if len(paces) < MIN_PACE_SAMPLES:
+            return False
+        margin = PACE_MARGIN + PACE_NOISE / math.sqrt(len(paces))
+        return _upper_quartile(paces) >= math.exp(margin) * usual
+
+    def _ask(self, now: float, signal: Signal) -> Suspicious:
+        window = now - self._onset(signal)
+        return Suspicious(LOWEST_SUSPICIOUS_WEIGHT, ask=window)
+
+    def _without_reports(
+        self, now: float, signal: Signal, others: references.Reference
+    ) -> Verdict:
+        waited = now - self._alarms[signal]
+        if signal is Signal.FAULTS and (
+            not others.others or waited >= FAULT_PATIENCE_SECONDS
+        ):
+            return Gray(signal.name.lower())
+        if not others.others:
+            return Healthy()
+        return self._ask(now, signal)
+
+    def _suspicious(self, excess: float) -> Verdict:
+        share = (excess - self.alarm / 2) / (self.alarm / 2)
+        if share < 0:
+            return Healthy()
+        weight = 1 - (1 - LOWEST_SUSPICIOUS_WEIGHT) * min(1.0, share)
+        return Suspicious(weight)
+
+    def summary(
+        self, now: float, window: float | None = None
+    ) -> references.Summary:
+        """Returns what the other agents of the service need to know.
+
+        An agent that asks names the window of its verdict, in seconds.
+        """
+        paces = [] if window is None else self._paces(now, now - window)
+        used = sorted(self._routes.items(), key=lambda item: -len(item[1]))
+        levels = [self.level(now, signal) for signal in Signal]
+        return references.Summary(
+            references.target_key(self.target),
+            (levels[0], levels[1], levels[2], levels[3]),
+            sum(now - time <= RECENT_SECONDS for time in self._started),
+            len(paces),
+            _upper_quartile(paces) if paces else 1.0,
+            tuple(
+                _route_summary(route, samples)
+                for route, samples in used[: references.MAX_ROUTES]
+            ),
+        )
+
+
+def _worse(first: Verdict, second: Verdict) -> Verdict:
+    match first, second:
+        case Suspicious(one, None), Suspicious(other, ask):
+            return Suspicious(min(one, other), ask)
+        case Suspicious(one, ask), Suspicious(other, _):
+            return Suspicious(min(one, other), ask)
+        case Healthy(), _:
+            return second
+        case _:
+            return first
+
+
+def _upper_quartile(values: list[float]) -> float:
+    return sorted(values)[(3 * len(values)) // 4]
+
+
+def _route_summary(
+    route: bytes, samples: "collections.deque[float]"
+) -> references.RouteSummary:
+    ranked = sorted(samples)
+    last = len(ranked) - 1
+    return references.RouteSummary(
+        route,
+        len(ranked),
+        ranked[round(0.9 * last)],
+        ranked[round(0.99 * last)],
+    )
--- /dev/null
+++ b/src/cicadafront/health/reference.py
@@ -0,0 +1,254 @@
+"""What a service's other targets do at present, from compact summaries.
+
+Each agent sends a summary of each of its targets to the agents of the same
+service every few seconds, and at once when one of them asks because its own
+target looks gray. A target is judged against the median of the others, so
+that several gray targets do not move the reference, while a slowdown of the
+whole service does.
+"""
+
+import hashlib
+import math
+import statistics
+import struct
+from collections.abc import Iterable
+
+import attrs
+
+from cicadafront.health import evidence
+
+# Summaries older than this say nothing about the present.
+SUMMARY_TTL_SECONDS = 30.0
+# Requests in the last seconds that make a target a witness of the present.
+WITNESS_REQUESTS = 2
+WITNESS_PACES = 3
+MAX_ROUTES = 4
+MIN_ROUTE_SAMPLES = 16
+
+# Time after which a cached reference is checked for outdated summaries.
+_CACHE_SECONDS = 1.0
+
+_HEAD = struct.Struct("!8s4sBBBB")
+_ROUTE = struct.Struct("!4sBBB")
+_SMALLEST_SECONDS = 1e-4
+_STEPS_PER_OCTAVE = 8
+_LEVEL_STEPS = 7.0
+_PACE_STEPS_PER_OCTAVE = 12
+
+
+def digest(text: str, size: int) -> bytes:
+    """Returns the short digest that stands for an id in a summary."""
+    return hashlib.blake2b(text.encode(), digest_size=size).digest()
+
+
+def target_key(target: str) -> bytes:
+    """Returns the 8 bytes that name a target."""
+    return digest(target, 8)
+
+
+def route_key(route: str) -> bytes:
+    """Returns the 4 bytes that name a route within its service."""
+    return digest(route, 4)
+
+
+@attrs.frozen
+class RouteSummary:
+    """Latency of one route at one target, in seconds."""
+
+    route: bytes
+    count: int
+    p90: float
+    p99: float
+
+
+@attrs.frozen
+class Summary:
+    """State of one target.
+
+    Attributes:
+        target: Key of the target.
+        levels: Evidence against the target, by signal.
+        recent: Requests started in the last seconds.
+        paced: Latencies in `pace`; 0 unless the summary was asked for.
+        pace: Upper quartile of latencies since the time that the asker
+            named, each divided by the long-run p90 of its route.
+        routes: The most used routes.
+    """
+
+    target: bytes
+    levels: tuple[float, float, float, float]
+    recent: int
+    paced: int = 0
+    pace: float = 1.0
+    routes: tuple[RouteSummary, ...] = ()
+
+    def encode(self) -> bytes:
+        """Returns 16 bytes and 7 more for each route."""
+        levels = bytes(
+            min(255, round(level * _LEVEL_STEPS)) for level in self.levels
+        )
+        routes = self.routes[:MAX_ROUTES]
+        head = _HEAD.pack(
+            self.target,
+            levels,
+            min(255, self.recent),
+            min(255, self.paced),
+            _pack_pace(self.pace),
+            len(routes),
+        )
+        return head + b"".join(
+            _ROUTE.pack(
+                item.route,
+                min(255, item.count),
+                _pack_seconds(item.p90),
+                _pack_seconds(item.p99),
+            )
+            for item in routes
+        )
+
+    @classmethod
+    def decode(cls, data: bytes) -> "Summary":
+        """Returns the summary; fails with `ValueError` on any other bytes."""
+        if len(data) < _HEAD.size:
+            raise ValueError(f"summary of {len(data)} bytes is too short")
+        target, levels, recent, paced, pace, count = _HEAD.unpack_from(data)
+        if len(data) != _HEAD.size + count * _ROUTE.size:
+            raise ValueError(f"summary of {len(data)} bytes, {count} routes")
+        routes = tuple(
+            RouteSummary(
+                route, many, _unpack_seconds(p90), _unpack_seconds(p99)
+            )
+            for route, many, p90, p99 in _ROUTE.iter_unpack(data[_HEAD.size :])
+        )
+        values = [level / _LEVEL_STEPS for level in levels]
+        return cls(
+            target,
+            (values[0], values[1], values[2], values[3]),
+            recent,
+            paced,
+            2.0 ** ((pace - 128) / _PACE_STEPS_PER_OCTAVE),
+            routes,
+        )
+
+
+def _pack_pace(pace: float) -> int:
+    code = 128 + round(_PACE_STEPS_PER_OCTAVE * math.log2(max(pace, 1e-3)))
+    return min(255, max(0, code))
+
+
+def _pack_seconds(seconds: float) -> int:
+    ratio = max(seconds, _SMALLEST_SECONDS) / _SMALLEST_SECONDS
+    return min(255, math.ceil(_STEPS_PER_OCTAVE * math.log2(ratio)))
+
+
+def _unpack_seconds(code: int) -> float:
+    return _SMALLEST_SECONDS * 2.0 ** (code / _STEPS_PER_OCTAVE)
+
+
+@attrs.frozen
+class RouteReference:
+    """Usual latency of a route, in seconds."""
+
+    p90: float
+    p99: float
+
+
+@attrs.frozen
+class Reference:
+    """The other targets of a service as one target's judge sees them.
+
+    Attributes:
+        others: Time of receipt and summary of each other target.
+        routes: Latency by route key.
+    """
+
+    others: tuple[tuple[float, Summary], ...] = ()
+    routes: dict[bytes, RouteReference] = attrs.field(factory=dict)
+
+    def fresh(self, since: float) -> bool:
+        """Whether most others have reported since a time."""
+        count = sum(received >= since for received, _ in self.others)
+        return 2 * count > len(self.others)
+
+    def witnesses(self, since: float) -> list[Summary]:
+        """Returns reports since a time by targets that had work.
+
+        Fewer than two (of several others) are no reference: none are
+        returned.
+        """
+        found = [
+            summary
+            for received, summary in self.others
+            if received >= since and summary.recent >= WITNESS_REQUESTS
+        ]
+        return found if len(found) >= min(2, len(self.others)) else []
+
+    def level(self, signal: evidence.Signal, since: float) -> float | None:
+        """Returns the median evidence of the others, None if unknown."""
+        return _median(s.levels[signal] for s in self.witnesses(since))
+
+    def pace(self, since: float) -> float | None:
+        """Returns the median pace of the others, None if unknown."""
+        found = [
+            summary.pace
+            for summary in self.witnesses(since)
+            if summary.paced >= WITNESS_PACES
+        ]
+        return _median(found) if len(found) > 1 else None
+
+
+def _median(values: Iterable[float]) -> float | None:
+    found = list(values)
+    return statistics.median(found) if found else None
+
+
+class References:
+    """Summaries of the targets of one service."""
+
+    def __init__(self) -> None:
+        self._summaries: dict[bytes, tuple[float, Summary]] = {}
+        self._cache: dict[bytes, tuple[float, Reference]] = {}
+
+    def learn(self, now: float, summary: Summary) -> None:
+        """Takes the newest summary of a target."""
+        self._summaries[summary.target] = (now, summary)
+        self._cache.clear()
+
+    def retain(self, targets: Iterable[str]) -> None:
+        """Drops the summaries of targets that are gone."""
+        keys = {target_key(target) for target in targets}
+        for key in self._summaries.keys() - keys:
+            del self._summaries[key]
+        self._cache.clear()
+
+    def reference(self, now: float, target: str) -> Reference:
+        """Returns the reference for one target."""
+        own = target_key(target)
+        made, found = self._cache.get(own, (-math.inf, Reference()))
+        if now - made < _CACHE_SECONDS:
+            return found
+        others = tuple(
+            (received, summary)
+            for key, (received, summary) in self._summaries.items()
+            if key != own and now - received <= SUMMARY_TTL_SECONDS
+        )
+        found = Reference(others, _route_references(others))
+        self._cache[own] = (now, found)
+        return found
+
+
+def _route_references(
+    others: tuple[tuple[float, Summary], ...],
+) -> dict[bytes, RouteReference]:
+    by_route: dict[bytes, list[RouteSummary]] = {}
+    for _, summary in others:
+        for item in summary.routes:
+            by_route.setdefault(item.route, []).append(item)
+    return {
+        route: RouteReference(
+            statistics.median(item.p90 for item in items),
+            statistics.median(item.p99 for item in items),
+        )
+        for route, items in by_route.items()
+        if sum(item.count for item in items) >= MIN_ROUTE_SAMPLES
+    }
--- /dev/null
+++ b/tests/health/harness.py
@@ -0,0 +1,110 @@
+"""Detectors of one service under generated traffic on virtual time."""
+
+import random
+
+from bench import loop, targets
+from cicadafront.health import detector, outcomes, reference
+
+EXCHANGE_SECONDS = 5.0
+LINK_SECONDS = 0.001
+CHECK_SECONDS = 0.05
+
+
+class Judged:
+    """One target with its model and the detector of its agent."""
+
+    def __init__(self, service: "Service", number: int) -> None:
+        self.service = service
+        self.clock = service.clock
+        self.id = f"target-{number}"
+        self.model = targets.TargetModel(service.clock, service.rng)
+        self.detector = detector.Detector(self.id)
+        self.references = reference.References()
+        self.waiting: list[outcomes.Work] = []
+        self.in_use = 0
+        self.gray: list[tuple[float, str]] = []
+        self.serial = 0
+
+    def arrive(self) -> None:
+        """Takes one request and schedules the next."""
+        self.serial += 1
+        self.waiting.append(outcomes.Work(self.serial, "route"))
+        self._start()
+        self.clock.later(
+            self.service.rng.expovariate(self.service.rate), self.arrive
+        )
+
+    def _start(self) -> None:
+        while self.waiting and self.in_use < self.service.slots:
+            work = self.waiting.pop(0)
+            self.in_use += 1
+            self.detector.started(self.clock.now, work)
+            self.model.serve(lambda outcome, w=work: self._done(w, outcome))
+
+    def _done(self, work: outcomes.Work, outcome: outcomes.Outcome) -> None:
+        self.in_use -= 1
+        self.detector.finished(self.clock.now, work, outcome)
+        self._start()
+
+    def check(self) -> None:
+        """Judges the target and asks the others when that is needed."""
+        now = self.clock.now
+        found = self.detector.verdict(
+            now, self.references.reference(now, self.id)
+        )
+        match found:
+            case detector.Gray(reason):
+                self.gray.append((now, reason))
+            case detector.Suspicious(ask=float(window)):
+                self.service.ask(self, window)
+
+
+class Service:
+    """Some targets whose agents exchange summaries.
+
+    Attributes:
+        rate: Requests per second and target.
+    """
+
+    def __init__(
+        self, seed: int, count: int = 6, rate: float = 20.0, slots: int = 3
+    ) -> None:
+        self.clock = loop.Loop()
+        self.rng = random.Random(seed)
+        self.rate = rate
+        self.slots = slots
+        self.targets = [Judged(self, number) for number in range(count)]
+        for target in self.targets:
+            self.clock.later(self.rng.expovariate(rate), target.arrive)
+            self.clock.every(CHECK_SECONDS, target.check)
+        self.clock.every(EXCHANGE_SECONDS, self.exchange)
+
+    def exchange(self) -> None:
+        """Sends every summary to every other agent."""
+        for target in self.targets:
+            self.ask(target)
+
+    def ask(self, asker: Judged, window: float | None = None) -> None:
+        """Delivers fresh summaries of the others after one round trip."""
+        for other in self.targets:
+            if other is not asker:
+                self.clock.later(
+                    LINK_SECONDS, lambda o=other: self._answer(asker, o, window)
+                )
+
+    def _answer(
+        self, asker: Judged, other: Judged, window: float | None
+    ) -> None:
+        if window is not None:
+            window += LINK_SECONDS
+        data = other.detector.summary(self.clock.now, window).encode()
+        self.clock.later(
+            LINK_SECONDS,
+            lambda: asker.references.learn(
+                self.clock.now, reference.Summary.decode(data)
+            ),
+        )
+
+    def gray(self) -> dict[str, tuple[float, str]]:
+        """Returns the first verdict of gray of each target."""
+        return {t.id: t.gray[0] for t in self.targets if t.gray}
--- /dev/null
+++ b/tests/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cicadafront.routing."""
