Contain requests that crash targets, and judge links apart from targets

Cause: a request that crashes its target is sent again by its caller, and a dead link must not count against the target behind it. Two shared crashes with the same companion lead to runs alone instead of a refusal, because they cannot tell which of the two is to blame. Conclusion: a resend cannot walk through a service.

--- /dev/null
+++ b/src/cicadafront/health/paths.py
@@ -0,0 +1,150 @@
+"""Judges the links from this entry, separately from the targets behind them.
+
+A path that fails is avoided for new requests; that is no evidence about any
+target. The state returns by a trial after a growing time.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+# A heartbeat is sent on a link with open streams after this silence.
+QUIET_SECONDS = 0.5
+# New requests avoid a path whose heartbeat is unanswered for this long. Round
+# trips take a few ms; the link itself is closed only after `CLOSE_SECONDS`.
+AVOID_SECONDS = 0.2
+CLOSE_SECONDS = 1.5
+RETRY_FIRST_SECONDS = 1.0
+RETRY_MAX_SECONDS = 30.0
+# A report of another instance that it does not hear us, without renewal.
+ONE_WAY_SECONDS = 10.0
+
+
+@attrs.frozen
+class Ping:
+    """Send a heartbeat to an instance."""
+
+    instance: str
+
+
+@attrs.frozen
+class Close:
+    """Close the link to an instance."""
+
+    instance: str
+
+
+Action = Ping | Close
+
+
+@attrs.define
+class _Path:
+    streams: int = 0
+    heard: float = 0.0
+    pinged: float | None = None
+    avoided_until: float = 0.0
+    backoff: float = 0.0
+    one_way_until: float = 0.0
+
+
+class Paths:
+    """State of the path to each instance that this entry uses.
+
+    Args:
+        rng: Source of the jitter of trials.
+        failed: Called with the instance when a path begins to be avoided.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        failed: Callable[[str], None] = lambda _: None,
+    ) -> None:
+        self._rng = rng
+        self._failed = failed
+        self._paths: dict[str, _Path] = {}
+
+    def usable(self, now: float, instance: str) -> bool:
+        """Whether new requests may take the direct path."""
+        path = self._paths.get(instance)
+        if path is None:
+            return True
+        return now >= max(path.avoided_until, path.one_way_until)
+
+    def opened(self, now: float, instance: str) -> None:
+        """Notes that a connection was established."""
+        path = self._path(now, instance)
+        path.heard = now
+        path.pinged = None
+
+    def open_failed(self, now: float, instance: str) -> None:
+        """Notes a connection that could not be established."""
+        self._avoid(now, instance)
+
+    def stream_opened(self, now: float, instance: str) -> None:
+        """Notes a request sent over the link."""
+        path = self._path(now, instance)
+        if not path.streams:
+            path.heard = now
+        path.streams += 1
+
+    def stream_closed(self, now: float, instance: str) -> None:
+        """Notes the end of a request on the link."""
+        path = self._path(now, instance)
+        path.streams = max(0, path.streams - 1)
+
+    def heard(self, now: float, instance: str) -> None:
+        """Notes a frame from the instance; the path works both ways."""
+        path = self._path(now, instance)
+        path.heard = now
+        path.pinged = None
+        path.backoff = 0.0
+        path.avoided_until = 0.0
+
+    def not_heard_by(self, now: float, instance: str) -> None:
+        """Notes a report of an instance that it does not hear us."""
+        self._path(now, instance).one_way_until = now + ONE_WAY_SECONDS
+        self._failed(instance)
+
+    def heard_by(self, now: float, instance: str) -> None:
+        """Notes a report of an instance that it hears us again."""
+        self._path(now, instance).one_way_until = 0.0
+
+    def forget(self, instance: str) -> None:
+        """Drops an instance that is gone."""
+        self._paths.pop(instance, None)
+
+    def tick(self, now: float) -> list[Action]:
+        """Returns heartbeats to send and links to close."""
+        actions: list[Action] = []
+        for instance, path in self._paths.items():
+            if path.pinged is None:
+                if path.streams and now - path.heard >= QUIET_SECONDS:
+                    path.pinged = now
+                    actions.append(Ping(instance))
+            elif now - path.pinged >= CLOSE_SECONDS:
+                path.pinged = None
+                path.streams = 0
+                actions.append(Close(instance))
+                self._avoid(now, instance)
+            elif now - path.pinged >= AVOID_SECONDS and self.usable(
+                now, instance
+            ):
+                self._avoid(now, instance)
+        return actions
+
+    def _avoid(self, now: float, instance: str) -> None:
+        path = self._path(now, instance)
+        path.backoff = min(
+            RETRY_MAX_SECONDS, max(RETRY_FIRST_SECONDS, 2 * path.backoff)
+        )
+        wait = path.backoff * self._rng.uniform(0.8, 1.2)
+        path.avoided_until = max(path.avoided_until, now + wait)
+        self._failed(instance)
+
+    def _path(self, now: float, instance: str) -> _Path:
+        path = self._paths.get(instance)
+        if path is None:
+            path = self._paths[instance] = _Path(heard=now)
+        return path
--- /dev/null
+++ b/tests/health/test_suspects.py
@@ -0,0 +1,196 @@
+"""Tests of requests that crash their targets."""
+
+import random
+import unittest
+
+from parameterized import parameterized
+
+from bench import loop
+from cicadafront.health import suspects
+
+KILLER = b"k" * 32
+OTHER = b"o" * 32
+BROADCAST_SECONDS = 0.2
+RUN_SECONDS = 0.01
+TARGETS = [f"target-{n}" for n in range(12)]
+
+
+def _crash(fingerprint, target, alone=False, others=()):
+    return suspects.Crash(fingerprint, "amani", target, alone, others)
+
+
+class _Fleet:
+    """Entries and agents that learn of crashes after the broadcast."""
+
+    def __init__(self, seed):
+        self.clock = loop.Loop()
+        self.rng = random.Random(seed)
+        self.known = {name: suspects.Suspects() for name in TARGETS}
+        self.entries = [suspects.Suspects() for _ in range(6)]
+        self.crashed = []
+        self.refused = 0
+        self.busy = set()
+
+    def send(self, failed=lambda: None):
+        now = self.clock.now
+        alive = [name for name in TARGETS if name not in self.crashed]
+        entry = self.rng.choice(self.entries)
+        found = entry.decide(now, "amani", KILLER, TARGETS)
+        target = self.rng.choice(alive)
+        if isinstance(found, suspects.RunAlone):
+            target = found.target
+        if isinstance(found, suspects.Refuse) or target in self.crashed:
+            self.refused += 1
+            self.clock.later(RUN_SECONDS, failed)
+            return
+        agent = self.known[target].decide(now, "amani", KILLER, [target])
+        alone = isinstance(agent, suspects.RunAlone)
+        if isinstance(agent, suspects.Refuse) or (
+            alone and KILLER in self.busy
+        ):
+            self.refused += 1
+            self.clock.later(RUN_SECONDS, failed)
+            return
+        if alone:
+            self.busy.add(KILLER)
+        self.clock.later(
+            RUN_SECONDS, lambda: self._crash(target, alone, failed)
+        )
+
+    def _crash(self, target, alone, failed):
+        self.busy.discard(KILLER)
+        if target not in self.crashed:
+            self.crashed.append(target)
+        event = _crash(KILLER, target, alone)
+        self.known[target].learn(self.clock.now, event)
+        for store in [*self.known.values(), *self.entries]:
+            delay = self.rng.uniform(0.0, BROADCAST_SECONDS)
+            self.clock.later(
+                delay, lambda s=store: s.learn(self.clock.now, event)
+            )
+        self.clock.later(suspects.CRASH_HOLD_SECONDS, failed)
+
+
+class WalkTest(unittest.TestCase):
+    """Guards against a resent request that walks through a service."""
+
+    def test_caller_that_waits_for_the_failure_crashes_two(self):
+        for seed in range(50):
+            fleet = _Fleet(seed)
+
+            def again(fleet=fleet):
+                if fleet.clock.now < 60:
+                    fleet.send(lambda: fleet.clock.later(0.01, again))
+
+            again()
+            fleet.clock.run(60)
+            self.assertLessEqual(len(fleet.crashed), 2, seed)
+            self.assertGreater(fleet.refused, 100)
+
+    def test_caller_that_does_not_wait(self):
+        # In 200 ms of broadcast and 10 ms of running, 20 sends a second reach
+        # at most 5 targets whose agents do not know the request.
+        for seed in range(50):
+            fleet = _Fleet(seed)
+            for number in range(400):
+                fleet.clock.later(0.05 * number, fleet.send)
+            fleet.clock.run(60)
+            self.assertLessEqual(len(fleet.crashed), 6, seed)
+
+
+class DecisionTest(unittest.TestCase):
+    """Guards against refusals of innocent requests and repeated crashes."""
+
+    @parameterized.expand(
+        [
+            ("none", [], suspects.RunNormally),
+            ("one shared", [_crash(KILLER, "a", False, (OTHER,))], "alone"),
+            ("one alone", [_crash(KILLER, "a", True)], "alone"),
+            ("same crash twice", [_crash(KILLER, "a")] * 2, "alone"),
+            (
+                "second alone",
+                [_crash(KILLER, "a"), _crash(KILLER, "b", True)],
+                suspects.Refuse,
+            ),
+            (
+                "two shared with different others",
+                [
+                    _crash(KILLER, "a", False, (OTHER,)),
+                    _crash(KILLER, "b", False, (b"x" * 32,)),
+                ],
+                suspects.Refuse,
+            ),
+            (
+                "two shared with the same other",
+                [
+                    _crash(KILLER, "a", False, (OTHER,)),
+                    _crash(KILLER, "b", False, (OTHER,)),
+                ],
+                "alone",
+            ),
+            (
+                "cleared",
+                [_crash(KILLER, "a"), suspects.Cleared(KILLER, "amani")],
+                suspects.RunNormally,
+            ),
+        ]
+    )
+    def test_history(self, _name, events, expected):
+        known = suspects.Suspects()
+        for event in events:
+            known.learn(100.0, suspects.decode(suspects.encode(event)))
+        found = known.decide(101.0, "amani", KILLER, TARGETS)
+        if expected == "alone":
+            expected = suspects.RunAlone
+            self.assertEqual(
+                suspects.lone_target(KILLER, TARGETS), found.target
+            )
+        self.assertIsInstance(found, expected)
+        self.assertEqual(
+            suspects.RunNormally(),
+            known.decide(101.0, "another", KILLER, TARGETS),
+        )
+
+    def test_refusal_ends_but_suspicion_stays(self):
+        known = suspects.Suspects()
+        known.learn(0.0, _crash(KILLER, "a"))
+        known.learn(1.0, _crash(KILLER, "b", True))
+        kinds = [
+            type(known.decide(now, "amani", KILLER, TARGETS))
+            for now in (600.0, 602.0, 1202.0)
+        ]
+        self.assertEqual(
+            [suspects.Refuse, suspects.RunAlone, suspects.RunNormally], kinds
+        )
+
+    def test_memory_is_bounded_and_one_account_displaces_only_itself(self):
+        known = suspects.Suspects()
+        known.learn(0.0, _crash(KILLER, "a"))
+        for number in range(10_000):
+            print_of = number.to_bytes(32, "big")
+            known.learn(0.0, suspects.Crash(print_of, "noisy", "a", True))
+        self.assertEqual(1 + suspects.MAX_SUSPECTS_PER_ACCOUNT, len(known))
+        self.assertIsInstance(
+            known.decide(1.0, "amani", KILLER, TARGETS), suspects.RunAlone
+        )
+        for number in range(10_000):
+            print_of = number.to_bytes(32, "big")
+            event = suspects.Crash(print_of, f"a{number % 50}", "a", True)
+            known.learn(0.0, event)
+        self.assertLessEqual(len(known), suspects.MAX_SUSPECTS)
+
+
+class PayloadTest(unittest.TestCase):
+    """Guards against payloads that are too large or read back wrongly."""
+
+    def test_largest_event_fits_a_broadcast(self):
+        others = tuple(bytes([n]) * 32 for n in range(16))
+        event = suspects.Crash(KILLER, "a" * 200, "t" * 200, False, others)
+        data = suspects.encode(event)
+        self.assertLessEqual(len(data), 1000)
+        self.assertEqual(event, suspects.decode(data))
+
+    @parameterized.expand([(b"",), (b"\x09" + b"x" * 36,), (b"\x01" * 37,)])
+    def test_other_bytes_are_refused(self, data):
+        with self.assertRaises(ValueError):
+            suspects.decode(data)
