Wire shard ownership, rates and idempotency records into the daemon

Cause: records and admission were local to each process, so a payment sent to three instances ran three times. Change: the assembly builds limits over the store and the peer calls; a planned stop hands the shards over with a limit of 8 s; the reactor's clock counts since boot, because the wall clock may step.

--- a/bench/control.py
+++ b/bench/control.py
@@ -202,7 +202,7 @@
         items += [
             records.TargetRecord(
                 f"{owner}-t{n:02d}",
-                f"svc-{(number * gossip_fleet.TARGETS + n) % gossip_fleet.SERVICES}",
+                gossip_fleet.service_name(number * gossip_fleet.TARGETS + n),
                 ("", 8000 + n),
                 3,
                 owner,
--- a/bench/gossip_fleet.py
+++ b/bench/gossip_fleet.py
@@ -19,6 +19,11 @@
 Row = dict[str, float]
 
 
+def service_name(number: int) -> str:
+    """Returns the service of the target with a number."""
+    return f"svc-{number % SERVICES}"
+
+
 @attrs.define
 class Meter:
     """CPU time spent in the gossip cores."""
@@ -65,7 +70,7 @@
     def _announce(self, node: gossip.Gossip, state: model.TargetState) -> None:
         place = int(node.me.id[1:])
         for number in range(TARGETS):
-            service = f"svc-{(place * TARGETS + number) % SERVICES}"
+            service = service_name(place * TARGETS + number)
             record = records.TargetRecord(
                 f"{node.me.id}-t{number:02d}",
                 service,
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -13,6 +13,7 @@
 from cicadafront.config import current, sync
 from cicadafront.config import model as config_model
 from cicadafront.daemon import options, root, supervisor
+from cicadafront.limits import assembly as limits_assembly
 from cicadafront.membership import (
     announce,
     announce_http,
@@ -105,6 +106,7 @@
         self.calls = calls
         self._build_membership()
         self._build_configuration()
+        self._build_limits()
         return self._fleet()
 
     def _build_membership(self) -> None:
@@ -140,6 +142,30 @@
             held=self.held,
         )
 
+    def _build_limits(self) -> None:
+        info = ports.InstanceInfo(
+            self.settings.instance,
+            self.options.incarnation,
+            self.settings.data_centre,
+            self.settings.peer,
+        )
+        self.limits = limits_assembly.Limits(
+            info,
+            # Ownership backs off by itself; the call budget of a returning
+            # store would delay the hand-over of 85 shards by 17 s.
+            self.http_store,
+            self.calls,
+            self.directory,
+            self.reactor,
+            self.rng,
+            limits_assembly.TcpProber(self.reactor),
+            self._account,
+            unix_offset=time.time() - self.reactor.seconds(),
+        )
+
+    def _account(self, id: str) -> config_model.ClientAccount | None:
+        return self.held.configuration.accounts.get(id)
+
     def _fleet(self) -> root.Fleet:
         chosen = self.settings
         endpoints = supervisor.Listener(
@@ -155,16 +181,20 @@
         configuration = supervisor.Step(
             "configuration", self.sync.start, self.sync.stop
         )
+        limits = supervisor.Step("limits", self.limits.start, lambda: None)
         return root.Fleet(
             directory=self.directory,
             beside=RegisteredTargets(
                 self.registry, chosen.instance, chosen.data_centre
             ),
             configuration=self.configuration,
+            admission=self.limits.admission,
+            records=self.limits.outcomes,
+            hand_over=self.limits.stop,
             confirmed=lambda: self.sync.confirmed(self.reactor.seconds()),
             announce_leaving=self.membership.leave,
             before_links=[endpoints],
-            after_links=[membership, configuration],
+            after_links=[membership, configuration, limits],
         )
 
     def configuration(self) -> config_model.Configuration | None:
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -3,6 +3,7 @@
 import argparse
 import pathlib
 import sys
+import time
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
@@ -16,6 +17,17 @@
 EXIT_SETTINGS_INVALID = 2
 
 
+def since_boot() -> float:
+    """Returns seconds since the machine started.
+
+    The reactor's own clock is the wall clock, which may step. The monotonic
+    clock stands still while a virtual machine is suspended, so that a lease
+    would seem younger than it is.
+    """
+    clock = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+    return time.clock_gettime(clock)
+
+
 def run(daemon: root.Daemon, reactor: Any = default_reactor) -> int:
     """Runs a daemon until a signal stops it; returns the exit status."""
     status = [0]
@@ -51,10 +63,12 @@
     except errors.CicadafrontError as error:
         print(error.message, file=sys.stderr)
         return EXIT_SETTINGS_INVALID
+    reactor: Any = default_reactor
+    reactor.seconds = since_boot
     level = logs.Level[chosen.log_level.upper()]
     logs.start(sys.stderr, chosen.instance, level)
-    built = assembly.FleetAssembly(default_reactor, chosen)
-    daemon = root.Daemon(default_reactor, built.options, built.build)
+    built = assembly.FleetAssembly(reactor, chosen)
+    daemon = root.Daemon(reactor, built.options, built.build)
     return run(daemon)
 
 
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -7,6 +7,7 @@
 
 import attrs
 from twisted.internet import defer, protocol, task
+from twisted.python import failure
 
 from cicadafront import ports
 from cicadafront.agent import agent, observer, queue, targets
@@ -18,6 +19,8 @@
 IDLE_CHECK_SECONDS = 5.0
 # Interval at which a planned stop looks whether all work has ended.
 DRAIN_CHECK_SECONDS = 0.02
+# Limit of the hand-over of shards; their state is in memory and small.
+HAND_OVER_SECONDS = 8.0
 # Time that peers have to close their side of a finished link.
 LINK_CLOSE_SECONDS = 1.0
 
@@ -257,7 +260,7 @@
         self._edge.close_idle()
         yield self._until(began + settings.stop_seconds, self._finished)
         self._log_cut()
-        yield self._fleet.hand_over()
+        yield self._hand_over()
         yield self._close_links()
         yield self.tree.stop()
         supervisor.log("stopped.")
@@ -282,6 +285,17 @@
         waiting.clock = self._reactor
         return waiting.start(DRAIN_CHECK_SECONDS)
 
+    def _hand_over(self) -> "defer.Deferred[None]":
+        handing = self._fleet.hand_over()
+        handing.addTimeout(HAND_OVER_SECONDS, self._reactor)
+        return handing.addErrback(self._not_handed_over)
+
+    def _not_handed_over(self, _reason: failure.Failure) -> None:
+        supervisor.log(
+            "some shards were not handed over; their next owner waits until "
+            "this process is known to have ended."
+        )
+
     def _log_cut(self) -> None:
         left = {
             "exchanges of callers": len(self._forwarder.running),
