Say what is unknown after an interrupted apply

Change: an interrupted apply names its write and exits with 5; waiting goes on until its time is over. Conclusion: operators learn which write to look for.

--- a/src/cicadafront/cli/config.py
+++ b/src/cicadafront/cli/config.py
@@ -159,7 +159,13 @@
                 base=revision,
             )
 
-        done = with_store(self.option("store"), put)
+        try:
+            done = with_store(self.option("store"), put)
+        except KeyboardInterrupt:
+            raise apply.ApplyUnknownError(
+                f"interrupted; it is unknown whether write {write} took"
+                " effect, look for it with `cicadafront config history`"
+            ) from None
         data = attrs.asdict(done) | {"write": write if done.changed else None}
         if done.changed:
             line = (
--- a/src/cicadafront/cli/fleet.py
+++ b/src/cicadafront/cli/fleet.py
@@ -77,7 +77,15 @@
             wanted = self._newest()
         shown = ""
         while True:
-            rows = self._rows(wanted)
+            try:
+                rows = self._rows(wanted)
+            except web.InstanceError as error:
+                # The asked instance may be restarting.
+                if not self.option("wait") or time.monotonic() >= ends:
+                    raise
+                self.note(error.message)
+                time.sleep(POLL_SECONDS)
+                continue
             lagging = [row["instance"] for row in rows if row["state"] != "ok"]
             progress = (
                 f"{len(rows) - len(lagging)} of {len(rows)} instances run the"
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -6,6 +6,7 @@
 import tempfile
 import tomllib
 import unittest
+from unittest import mock
 
 import klein
 from cleo.testers import application_tester
@@ -14,6 +15,7 @@
 from twisted.web import server
 
 from cicadafront.cli import base, keys, loop, main
+from cicadafront.cli import config as cli_config
 from cicadafront.config import folder
 from tests.config.support import FILES
 from tests.store.support import serve
@@ -201,6 +203,20 @@
         code, data = self.run_json("config apply {dir} -s {store}")
         self.assertEqual((code, data["revision"]), (0, 1))
 
+    def test_interrupted_apply_names_its_write(self):
+        with mock.patch.object(
+            cli_config, "with_store", side_effect=KeyboardInterrupt
+        ):
+            code, data = self.run_json("config apply {dir} -s {store}")
+        self.assertEqual((code, data["error"]["code"]), (5, "apply_unknown"))
+        self.assertIn("write", data["error"]["message"])
+
+    def test_status_waits_while_the_asked_instance_is_away(self):
+        line = "config status -a 127.0.0.1:1 --revision 1 --wait --timeout 1"
+        code, _, error = self.run_command(line)
+        self.assertEqual(code, 3)
+        self.assertGreater(error.count("no answer"), 1)
+
     def test_status_waits_for_instances_that_lag(self):
         line = "config status -s {store} -a {address} --revision 1"
         self.assertEqual(self.run_command(line)[0], 0)
