Reduce the cost per request

Cause: a profile showed the dictionaries for `open` and `head` frames and their lists of header structs as the largest single cost, and Twisted sends a message only after all bookkeeping of the same turn.

Change: headers travel as one field separated by NUL, and the two frames are built by setters. The last bytes of a message are sent at once. Modules and schema are frozen out of the garbage collector after the start. A stop accepts what waits at the edge port, and closes no connection whose head is arriving.

--- a/src/cicadafront/agent/connection.py
+++ b/src/cicadafront/agent/connection.py
@@ -7,7 +7,7 @@
 from twisted.internet import error, interfaces, protocol
 from twisted.python import failure
 
-from cicadafront import headers, model
+from cicadafront import headers, model, tcp
 from cicadafront.peer import flow
 
 # Heads of answers; targets are trusted further than callers.
@@ -109,6 +109,7 @@
             ending = self._http.send(h11.EndOfMessage())
             if ending:
                 self.transport.write(ending)
+            tcp.flush(self.transport)
 
     def abort(self) -> None:
         """Closes the connection at once."""
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -3,8 +3,6 @@
 import enum
 from typing import Any, Protocol
 
-import attrs
-
 from cicadafront import errors, headers, model
 from cicadafront.agent import connection, idle, observer, queue, targets
 from cicadafront.peer import exchange
@@ -57,13 +55,7 @@
         self._response = response
         self._state = _State.QUEUED
         self._deadline = now + request.timeout
-        self._entry = queue.Entry(
-            request.target,
-            0,
-            request.account,
-            request.weight,
-            self._deadline,
-        )
+        self._entry: queue.Entry | None = None
         self._timer: Any = None
         self._connection: connection.TargetConnection | None = None
         self._pending: list[bytes] = []
@@ -79,10 +71,15 @@
         except errors.RequestError as error:
             self.refuse(error)
             return
-        self._entry = attrs.evolve(self._entry, slots=place.target.slots)
-        self._timer = self._agent.clock.callLater(
-            self._request.timeout, self._expire
+        request = self._request
+        self._entry = queue.Entry(
+            request.target,
+            place.target.slots,
+            request.account,
+            request.weight,
+            self._deadline,
         )
+        self._timer = self._agent.clock.callLater(request.timeout, self._expire)
         self._agent.slots.submit(self._entry, self._connect, self.refuse)
 
     # Request body, from the entry.
@@ -170,7 +167,7 @@
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
         kept.append((DEADLINE_HEADER, b"%d" % remaining))
-        return attrs.evolve(head, headers=tuple(kept))
+        return model.RequestHead(head.method, head.path, tuple(kept))
 
     # Answer, from the target.
 
@@ -193,7 +190,8 @@
         if mangled:
             outcome = observer.Failed("mangled")
         if reusable and found is not None and self._agent.accepting:
-            self._agent.idle.put(found, self._entry.slots)
+            limit = self._entry.slots if self._entry is not None else 0
+            self._agent.idle.put(found, limit)
         elif reusable and found is not None:
             found.abort()
         self._close(outcome)
@@ -265,7 +263,8 @@
             now = self._agent.clock.seconds()
             self._agent.watcher.finished(now, self._token, outcome)
         self._agent.running.discard(self)
-        self._agent.slots.remove(self._entry)
+        if self._entry is not None:
+            self._agent.slots.remove(self._entry)
 
     def _load(self) -> exchange.Load:
         return self._agent.slots.load(self._request.target)
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -1,6 +1,7 @@
 """Command line of the daemon."""
 
 import argparse
+import gc
 import pathlib
 import sys
 import tomllib
@@ -54,8 +55,14 @@
         status[0] = 1
         reactor.stop()
 
+    def started(_: object) -> None:
+        # Full collections would otherwise walk all modules and the schema
+        # while requests wait.
+        gc.collect()
+        gc.freeze()
+
     def start() -> None:
-        daemon.start().addErrback(failed)
+        daemon.start().addCallbacks(started, failed)
 
     reactor.callWhenRunning(start)
     reactor.addSystemEventTrigger("before", "shutdown", daemon.stop)
--- a/src/cicadafront/daemon/supervisor.py
+++ b/src/cicadafront/daemon/supervisor.py
@@ -132,6 +132,8 @@
         listening, self._listening = self._listening, None
         if listening is None:
             return None
+        # Closing the port resets connections that wait to be accepted.
+        listening.doRead()
         return defer.maybeDeferred(listening.stopListening)
 
     def _lost(self) -> None:
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -11,7 +11,7 @@
 from twisted.python import failure
 from zope.interface import implementer
 
-from cicadafront import errors, model
+from cicadafront import errors, model, tcp
 from cicadafront.edge import caller, framing, problem
 from cicadafront.peer import exchange, flow
 
@@ -26,6 +26,10 @@
 AHEAD_BYTES = 64 * 1024
 
 _CLOSE = (b"Connection", b"close")
+_REASONS = {
+    status: reason.encode("ascii")
+    for status, reason in http.client.responses.items()
+}
 
 
 @attrs.define
@@ -275,13 +279,9 @@
         fields = list(head.headers)
         if self._site.draining:
             fields.append(_CLOSE)
-        reason = http.client.responses.get(head.status, "")
+        reason = _REASONS.get(head.status, b"")
         self._send(
-            h11.Response(
-                status_code=head.status,
-                headers=fields,
-                reason=reason.encode("ascii"),
-            )
+            h11.Response(status_code=head.status, headers=fields, reason=reason)
         )
 
     def answer_body(self, data: bytes) -> None:
@@ -296,6 +296,7 @@
         self._send(h11.EndOfMessage())
         if self._closing:
             return
+        tcp.flush(self.transport)
         self._settle()
         states = self._http.our_state, self._http.their_state
         if states != (h11.DONE, h11.DONE):
@@ -369,8 +370,8 @@
         self.transport.abortConnection()
 
     def close_if_idle(self) -> None:
-        """Closes the connection unless it runs a request."""
-        if self._answer is None:
+        """Closes the connection unless a request runs or is arriving."""
+        if self._answer is None and self._idle:
             self.close()
 
     def _arm(self, seconds: float, action: Callable[[], None]) -> None:
--- a/src/cicadafront/peer/codec.py
+++ b/src/cicadafront/peer/codec.py
@@ -1,5 +1,6 @@
 """Conversion between frames on the wire and attrs data."""
 
+import itertools
 import pathlib
 
 import attrs
@@ -122,26 +123,54 @@
 )
 
 
-def _headers(headers: model.Headers) -> list[dict[str, bytes]]:
-    return [{"name": name, "value": value} for name, value in headers]
-
-
-def _open_fields(request: exchange.OpenRequest) -> dict[str, object]:
-    return {
-        "method": request.head.method,
-        "path": request.head.path,
-        "headers": _headers(request.head.headers),
-        "account": request.account,
-        "service": request.service,
-        "target": request.target,
-        "timeoutMs": max(0, int(request.timeout * 1000)),
-        "repeatable": request.repeatable,
-        "traceparent": request.traceparent,
-        "attempt": request.attempt,
-        "weight": request.weight,
-        "fingerprint": request.fingerprint,
-        "relayTo": request.relay_to,
-    }
+def _pack(headers: model.Headers) -> bytes:
+    # One field costs a tenth of a list of structs per header.
+    packed = b"\0".join(itertools.chain.from_iterable(headers))
+    if headers and packed.count(b"\0") != 2 * len(headers) - 1:
+        raise FrameError("A header contains NUL; remove it.")
+    return packed
+
+
+def _unpack(packed: bytes) -> model.Headers:
+    if not packed:
+        return ()
+    parts = packed.split(b"\0")
+    if len(parts) % 2:
+        raise ValueError("header without a value")
+    return tuple(zip(parts[::2], parts[1::2], strict=True))
+
+
+def _encode_open(frame: Open) -> bytes:
+    # Setters take half the time of a nested dictionary.
+    request = frame.request
+    message = _SCHEMA.Frame.new_message()
+    message.id = frame.id
+    body = message.init("open")
+    body.method = request.head.method
+    body.path = request.head.path
+    body.headers = _pack(request.head.headers)
+    body.account = request.account
+    body.service = request.service
+    body.target = request.target
+    body.timeoutMs = max(0, int(request.timeout * 1000))
+    body.repeatable = request.repeatable
+    body.traceparent = request.traceparent
+    body.attempt = request.attempt
+    body.weight = request.weight
+    body.fingerprint = request.fingerprint
+    body.relayTo = request.relay_to
+    return message.to_bytes()
+
+
+def _encode_head(frame: Head) -> bytes:
+    message = _SCHEMA.Frame.new_message()
+    message.id = frame.id
+    body = message.init("head")
+    body.status = frame.head.status
+    body.headers = _pack(frame.head.headers)
+    body.slotsInUse = frame.load.slots_in_use
+    body.queued = frame.load.queued
+    return message.to_bytes()
 
 
 def _reset_fields(frame: Reset) -> dict[str, object]:
@@ -157,18 +186,10 @@
     }
 
 
-def _fields(frame: Frame) -> dict[str, object]:
+def _fields(
+    frame: Data | End | Reset | Window | Hello | Ping | Pong | Call | Reply,
+) -> dict[str, object]:
     match frame:
-        case Open(id, request):
-            return {"id": id, "open": _open_fields(request)}
-        case Head(id, head, load):
-            fields = {
-                "status": head.status,
-                "headers": _headers(head.headers),
-                "slotsInUse": load.slots_in_use,
-                "queued": load.queued,
-            }
-            return {"id": id, "head": fields}
         case Data(id, data):
             return {"id": id, "data": data}
         case End(id):
@@ -204,16 +225,18 @@
 
 def encode(frame: Frame) -> bytes:
     """Returns the bytes of a frame without its length prefix."""
-    return _SCHEMA.Frame.new_message(**_fields(frame)).to_bytes()
-
-
-def _decode_headers(headers) -> model.Headers:
-    return tuple((bytes(h.name), bytes(h.value)) for h in headers)
+    match frame:
+        case Open():
+            return _encode_open(frame)
+        case Head():
+            return _encode_head(frame)
+        case _:
+            return _SCHEMA.Frame.new_message(**_fields(frame)).to_bytes()
 
 
 def _decode_open(message) -> exchange.OpenRequest:
     head = model.RequestHead(
-        message.method, message.path, _decode_headers(message.headers)
+        message.method, message.path, _unpack(message.headers)
     )
     return exchange.OpenRequest(
         head=head,
@@ -254,9 +277,7 @@
         case "open":
             return Open(message.id, _decode_open(body))
         case "head":
-            head = model.ResponseHead(
-                body.status, _decode_headers(body.headers)
-            )
+            head = model.ResponseHead(body.status, _unpack(body.headers))
             return Head(message.id, head, _load(body))
         case "data":
             return Data(message.id, bytes(body))
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -16,7 +16,7 @@
 from twisted.protocols import basic
 from twisted.python import failure
 
-from cicadafront import errors, ports
+from cicadafront import errors, ports, tcp
 from cicadafront.peer import codec, exchange, failures, heartbeat, streams
 
 PROTOCOL_VERSION = 1
@@ -194,6 +194,8 @@
         """Writes a frame, or queues it until the peer's hello."""
         if self.ready:
             self.sendString(codec.encode(frame))
+            if isinstance(frame, codec.End | codec.Reset):
+                tcp.flush(self.transport)
         elif not self.closed:
             self._early.append(frame)
 
--- a/src/cicadafront/peer/peer.capnp
+++ b/src/cicadafront/peer/peer.capnp
@@ -1,11 +1,6 @@
 # Frames on the TCP connection between two instances.
 @0xd1c3a5b7f0e24681;
 
-struct Header {
-  name @0 :Data;
-  value @1 :Data;
-}
-
 struct Hello {
   instance @0 :Text;
   incarnation @1 :UInt64;
@@ -15,7 +10,8 @@
 struct Open {
   method @0 :Text;
   path @1 :Text;
-  headers @2 :List(Header);
+  # Names and values in turn, separated by NUL, which no header may contain.
+  headers @2 :Data;
   account @3 :Text;
   service @4 :Text;
   target @5 :Text;
@@ -31,7 +27,7 @@
 
 struct Head {
   status @0 :UInt16;
-  headers @1 :List(Header);
+  headers @1 :Data;  # as in Open
   # Load of the target when the head was sent.
   slotsInUse @2 :UInt16;
   queued @3 :UInt16;
--- a/src/cicadafront/tcp.py
+++ b/src/cicadafront/tcp.py
@@ -1,8 +1,9 @@
-"""Outgoing TCP connections."""
+"""TCP connections: connecting and prompt writing."""
 
 from typing import Any
 
 from twisted.internet import defer, protocol
+from twisted.internet import tcp as twisted_tcp
 from twisted.python import failure
 
 
@@ -44,3 +45,18 @@
     host, port = address
     reactor.connectTCP(host, port, factory, seconds)
     return factory.failed
+
+
+def flush(transport: Any) -> None:
+    """Sends what was written instead of waiting for the reactor's next turn.
+
+    Twisted sends after all handlers of a turn have run, so that bookkeeping
+    after the last byte of a message would delay the message. What the socket
+    does not take, and errors of the socket, are left to the reactor.
+    """
+    if (
+        isinstance(transport, twisted_tcp.Connection)
+        and transport.connected
+        and not transport.disconnecting
+    ):
+        transport.doWrite()
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -75,6 +75,9 @@
     def port(self):
         return 7
 
+    def doRead(self):  # noqa: N802
+        self.accepted = True
+
     def stopListening(self):  # noqa: N802
         self.factories[-1].doStop()
 
@@ -105,6 +108,7 @@
 
     def test_stopped_listener_stays_closed(self):
         self.listener.stop()
+        self.assertTrue(self.reactor.accepted)
         self.reactor.advance(60)
         self.assertEqual(len(self.reactor.factories), 1)
 
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -163,6 +163,16 @@
         edge.connection.connectionLost(failure.Failure(error.ConnectionDone()))
         self.assertTrue(edge.sink.cancelled)
 
+    @parameterized.expand(
+        [("idle", [], True), ("head on its way", [GET[:9]], False)]
+    )
+    def test_draining_closes_what_is_idle(self, _name, pieces, closed):
+        edge = Edge()
+        edge.receive(*pieces)
+        edge.site.drain()
+        edge.site.close_idle()
+        self.assertEqual(edge.transport.closed, closed)
+
     def test_draining_closes_after_the_answer(self):
         edge = Edge()
         edge.receive(GET)
--- /dev/null
+++ b/tests/support/agent.py
@@ -0,0 +1,117 @@
+"""An agent beside one target, in memory."""
+
+from twisted.internet import defer, error, task
+from twisted.python import failure
+
+from cicadafront import model
+from cicadafront.agent import agent, queue, targets
+from cicadafront.daemon import local
+from cicadafront.peer import exchange
+from tests.support import memory
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Socket:
+    """The handle of a connection; says what a peek at it finds."""
+
+    def __init__(self):
+        self.unread = None
+
+    def recv(self, _size, _flags):
+        if self.unread is None:
+            raise BlockingIOError
+        return self.unread
+
+
+class TargetTransport(memory.Transport):
+    """A transport to a target."""
+
+    connected = True
+
+    def __init__(self):
+        super().__init__()
+        self.handle = Socket()
+
+    def getHandle(self):  # noqa: N802
+        return self.handle
+
+
+class Connector:
+    """Connects at once, later, or never."""
+
+    def __init__(self):
+        self.made = []
+        self.failed = []
+        self.delay = False
+
+    def connect(self, place, made):
+        self.made.append(made)
+        self.failed.append(defer.Deferred())
+        if not self.delay:
+            made.makeConnection(TargetTransport())
+        return self.failed[-1]
+
+
+class Watcher:
+    """Notes what the agent reports."""
+
+    def __init__(self):
+        self.outcomes = []
+        self.strays = []
+
+    def started(self, now, target, request):
+        return target
+
+    def finished(self, now, token, outcome):
+        self.outcomes.append(outcome)
+
+    def mangled(self, now, target):
+        self.strays.append(target)
+
+
+class Site:
+    """An agent beside the target `t`."""
+
+    def __init__(self, slots=2):
+        self.clock = task.Clock()
+        self.watcher = Watcher()
+        self.connector = Connector()
+        self.directory = local.StaticDirectory()
+        self.queue = queue.FifoQueue(limit=2)
+        self.state(model.TargetState.SERVING, slots)
+        self.agent = agent.Agent(
+            self.directory,
+            self.queue,
+            self.watcher,
+            self.connector,
+            self.clock,
+        )
+
+    def state(self, state, slots=2):
+        target = model.Target("t", "s", "i", slots, state)
+        place = targets.LocalTarget(target, "127.0.0.1", 1)
+        self.directory.beside["t"] = place
+
+    def open(self, repeatable=True, timeout=5.0, method="GET", fields=()):
+        """Opens an exchange; returns its two ends."""
+        head = model.RequestHead(method, "/x", ((b"Host", b"h"), *fields))
+        request = exchange.OpenRequest(
+            head, "", "s", "t", timeout, repeatable=repeatable
+        )
+        response = memory.Response()
+        return self.agent.open(request, response), response
+
+    @property
+    def transport(self):
+        """The newest connection to the target."""
+        return self.connector.made[-1].transport
+
+    def receive(self, data, index=-1):
+        """Takes bytes from the target."""
+        self.connector.made[index].dataReceived(data)
+
+    def lose(self, reason=error.ConnectionDone, index=-1):
+        """Ends a connection from the side of the target."""
+        made = self.connector.made[index]
+        made.connectionLost(failure.Failure(reason()))
