--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,377 @@
+"""Entries, agents and targets of one service on virtual time.
+
+Agents and entries run the decision modules of the product. Links are delays;
+targets are service-time models.
+"""
+
+import random
+from collections.abc import Callable
+
+import attrs
+
+from bench import loop, targets
+from cicadafront import errors, model
+from cicadafront.health import (
+    detector,
+    ejection,
+    outcomes,
+    paths,
+    permits,
+    reference,
+)
+from cicadafront.peer import exchange
+from cicadafront.routing import fairqueue, picker, retry
+
+SERVICE = "service"
+TICK_SECONDS = 0.05
+EXCHANGE_SECONDS = 5.0
+# Age of records at other instances.
+GOSSIP_SECONDS = 0.1
+TIMEOUT_SECONDS = 2.0
+MAX_ATTEMPTS = 3
+FLOOR = 0.5
+PROBE_SECONDS = 0.025
+
+
+@attrs.frozen
+class Deployment:
+    """Shape and delays of one deployment; times in seconds."""
+
+    name: str
+    slots: int
+    link: float
+    client: float
+    targets: int = 6
+
+
+DEPLOYMENTS = (
+    Deployment("kaburi", 3, 0.0005, 0.003),
+    Deployment("pancierova", 5, 0.001, 0.008),
+)
+
+
+@attrs.define(eq=False)
+class Request:
+    """A request of a caller."""
+
+    account: str
+    sent: float
+    entry: int
+    attempt: int = 0
+    tried: frozenset[str] = frozenset()
+    over: bool = False
+
+
+class Agent:
+    """Agent of one target."""
+
+    def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.fleet = fleet
+        self.clock = fleet.clock
+        self.number = number
+        self.id = f"target-{number}"
+        self.model = targets.TargetModel(fleet.clock, fleet.rng)
+        self.queue = fairqueue.FairQueue(
+            fleet.deployment.slots, self._start, self._give_up
+        )
+        self.detector = detector.Detector(self.id)
+        self.references = reference.References()
+        self.ejection = ejection.Ejection(fleet.rng)
+        self.warm_since = -100.0
+        self.serial = 0
+        self.asked = -1.0
+        self.waiting: dict[fairqueue.Entry, tuple[Request, Callable]] = {}
+        self.condemned: list[float] = []
+        fleet.clock.every(TICK_SECONDS, self.tick)
+
+    def record(self) -> model.Target:
+        """Returns the record that the agent announces."""
+        state = model.TargetState.SERVING
+        if self.ejection.ejected:
+            state = model.TargetState.EJECTED
+        return model.Target(
+            self.id,
+            SERVICE,
+            f"instance-{self.number}",
+            self.fleet.deployment.slots,
+            state,
+            self.warm_since,
+            self.ejection.weight(self.clock.now),
+            f"dc-{self.number % 3}",
+        )
+
+    def load(self) -> exchange.Load:
+        """Returns the load that responses carry."""
+        return exchange.Load(self.queue.in_use, self.queue.queued)
+
+    def open(self, request: Request, reply: Callable) -> None:
+        """Takes a request; the reply gets whether it succeeded."""
+        if self.ejection.ejected:
+            reply(False, errors.Executed.NO)
+            return
+        deadline = request.sent + TIMEOUT_SECONDS
+        entry = fairqueue.Entry(request.account, deadline)
+        self.waiting[entry] = (request, reply)
+        self.queue.submit(entry, self.clock.now)
+
+    def _give_up(
+        self, entry: fairqueue.Entry, error: errors.RequestError
+    ) -> None:
+        self.waiting.pop(entry)[1](False, errors.Executed.NO)
+
+    def _start(self, entry: fairqueue.Entry) -> None:
+        self.serial += 1
+        work = outcomes.Work(self.serial, "route")
+        self.detector.started(self.clock.now, work)
+        self.model.serve(lambda outcome: self._done(entry, work, outcome))
+
+    def _done(
+        self,
+        entry: fairqueue.Entry,
+        work: outcomes.Work,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        self.detector.finished(self.clock.now, work, outcome)
+        reply = self.waiting.pop(entry)[1]
+        self.queue.finished(entry, self.clock.now)
+        reply(succeeded(outcome), errors.Executed.UNKNOWN)
+
+    def tick(self) -> None:
+        """Judges the target and advances its life cycle."""
+        now = self.clock.now
+        self.queue.tick(now)
+        found = self.detector.verdict(
+            now, self.references.reference(now, self.id)
+        )
+        match found:
+            case detector.Gray() if self.ejection.state in (
+                "serving",
+                "slow_start",
+            ):
+                self.condemned.append(now)
+            case detector.Suspicious(ask=float(window)):
+                self._ask(window)
+        self._act(self.ejection.verdict(now, found))
+        self._act(self.ejection.tick(now))
+
+    def _ask(self, window: float | None) -> None:
+        now = self.clock.now
+        if window is not None and now - self.asked < detector.FRESH_SECONDS:
+            return
+        self.asked = now
+        for other in self.fleet.agents:
+            if other is not self:
+                self.fleet.call(
+                    lambda o=other: o.summary(window),
+                    lambda data: self.references.learn(
+                        self.clock.now, reference.Summary.decode(data)
+                    ),
+                )
+
+    def exchange(self) -> None:
+        """Gets the periodic summaries of the other targets."""
+        self._ask(None)
+
+    def summary(self, window: float | None) -> bytes:
+        """Answers another agent."""
+        if window is not None:
+            window += self.fleet.deployment.link
+        return self.detector.summary(self.clock.now, window).encode()
+
+    def _act(self, actions: list[ejection.Action]) -> None:
+        now = self.clock.now
+        for action in actions:
+            match action:
+                case ejection.AskPermit(serial, running):
+                    self.fleet.call(
+                        lambda s=serial, r=running: self.fleet.owner.request(
+                            now, self.id, self.queue.slots, s, r
+                        ),
+                        lambda answer, s=serial: self._act(
+                            self.ejection.answered(self.clock.now, s, answer)
+                        ),
+                    )
+                case ejection.ReleasePermit(serial):
+                    self.fleet.owner.release(now, self.id, serial)
+                    self.warm_since = now
+                case ejection.ResetDetector(returning):
+                    self.detector.reset(
+                        detector.RETURN_ALARM
+                        if returning
+                        else detector.evidence.ALARM
+                    )
+                case ejection.Probe():
+                    self.clock.later(PROBE_SECONDS, self._probed)
+
+    def _probed(self) -> None:
+        # Gray targets answer probes.
+        self._act(self.ejection.probed(self.clock.now, True))
+
+
+def succeeded(outcome: outcomes.Outcome) -> bool:
+    """Whether the caller gets a good answer."""
+    return isinstance(outcome, outcomes.Completed) and outcome.status < 500
+
+
+class Entry:
+    """Entry role of one instance."""
+
+    def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.fleet = fleet
+        self.clock = fleet.clock
+        self.number = number
+        self.view: list[model.Target] = [a.record() for a in fleet.agents]
+        self.paths = paths.Paths(fleet.rng)
+        self.picker = picker.Picker(
+            fleet.rng,
+            lambda _: self.view,
+            self.paths.usable,
+            f"dc-{number % 3}",
+        )
+        self.budget = retry.RetryBudget(0.0)
+        self.open: dict[str, set[Request]] = {}
+        self.avoided: dict[str, float] = {}
+        fleet.clock.every(TICK_SECONDS, self.tick)
+
+    def tick(self) -> None:
+        """Sends heartbeats and closes dead links."""
+        now = self.clock.now
+        for action in self.paths.tick(now):
+            peer = int(action.instance.removeprefix("instance-"))
+            if isinstance(action, paths.Ping):
+                if self.fleet.cut != (peer, self.number):
+                    self.clock.later(
+                        2 * self.fleet.deployment.link,
+                        lambda i=action.instance: self.paths.heard(
+                            self.clock.now, i
+                        ),
+                    )
+            else:
+                for request in list(self.open.pop(action.instance, ())):
+                    self._failed(request, errors.Executed.UNKNOWN)
+        if self.fleet.cut is not None and self.fleet.cut[1] == self.number:
+            name = f"instance-{self.fleet.cut[0]}"
+            if not self.paths.usable(now, name):
+                self.avoided.setdefault(name, now)
+
+    def submit(self, request: Request) -> None:
+        """Takes a request of a caller."""
+        self.budget.requested(self.clock.now)
+        self.clock.later(TIMEOUT_SECONDS, lambda: self._over(request, False))
+        self._send(request)
+
+    def _send(self, request: Request) -> None:
+        now = self.clock.now
+        target = self.picker.pick(SERVICE, request.tried, now)
+        if target is None:
+            self._over(request, False)
+            return
+        request.attempt += 1
+        request.tried |= {target.id}
+        name = target.instance
+        self.open.setdefault(name, set()).add(request)
+        self.paths.stream_opened(now, name)
+        agent = self.fleet.by_id[target.id]
+        attempt = request.attempt
+        link = self.fleet.deployment.link
+
+        def reply(good: bool, executed: errors.Executed) -> None:
+            load = agent.load()
+            if self.fleet.cut != (agent.number, self.number):
+                self.clock.later(link, lambda: answered(good, executed, load))
+
+        def answered(
+            good: bool, executed: errors.Executed, load: exchange.Load
+        ) -> None:
+            self.paths.heard(self.clock.now, name)
+            self.paths.stream_closed(self.clock.now, name)
+            self.open.get(name, set()).discard(request)
+            self.picker.observe(target.id, load, self.clock.now)
+            if request.attempt != attempt:
+                return
+            if good:
+                self._over(request, True)
+            else:
+                self._failed(request, executed)
+
+        self.clock.later(link, lambda: agent.open(request, reply))
+
+    def _failed(self, request: Request, executed: errors.Executed) -> None:
+        if (
+            request.over
+            or request.attempt >= MAX_ATTEMPTS
+            or not retry.may_retry(executed, True, False, True)
+            or not self.budget.take(self.clock.now)
+        ):
+            self._over(request, False)
+        else:
+            self._send(request)
+
+    def _over(self, request: Request, good: bool) -> None:
+        if not request.over:
+            request.over = True
+            self.fleet.finished(request, good)
+
+
+class Fleet:
+    """One service in one deployment.
+
+    Attributes:
+        cut: Sender and receiver of a link that loses all frames, or None.
+        results: Latency, or None for a failure, of each request by account.
+    """
+
+    agent_class: type = Agent
+    entry_class: type = Entry
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.clock = loop.Loop()
+        self.rng = random.Random(seed)
+        self.cut: tuple[int, int] | None = None
+        count = deployment.targets
+        self.agents = [self.agent_class(self, n) for n in range(count)]
+        self.by_id = {agent.id: agent for agent in self.agents}
+        self.entries = [self.entry_class(self, n) for n in range(count)]
+        self.owner = permits.Permits(FLOOR, 1, -100.0)
+        self.owner.confirm(1e9)
+        self.results: dict[str, list[float | None]] = {}
+        self.clock.every(GOSSIP_SECONDS, self._gossip)
+        for agent in self.agents:
+            self.clock.every(EXCHANGE_SECONDS, agent.exchange)
+
+    def call(self, run: Callable, done: Callable) -> None:
+        """Calls another instance and passes its answer on."""
+        link = self.deployment.link
+
+        def there() -> None:
+            answer = run()
+            self.clock.later(link, lambda: done(answer))
+
+        self.clock.later(link, there)
+
+    def _gossip(self) -> None:
+        records = [agent.record() for agent in self.agents]
+        self.owner.update(self.clock.now, records, lambda _: True)
+        for entry in self.entries:
+            entry.view = records
+
+    def load(self, account: str, rate: float) -> None:
+        """Lets callers of an account send requests from now on."""
+
+        def again() -> None:
+            number = self.rng.randrange(len(self.entries))
+            request = Request(account, self.clock.now, number)
+            entry = self.entries[number]
+            self.clock.later(
+                self.deployment.client, lambda: entry.submit(request)
+            )
+            self.clock.later(self.rng.expovariate(rate), again)
+
+        self.clock.later(self.rng.expovariate(rate), again)
+
+    def finished(self, request: Request, good: bool) -> None:
+        """Notes the result of a request as its caller sees it."""
+        seconds = self.clock.now + self.deployment.client - request.sent
+        found = self.results.setdefault(request.account, [])
+        found.append(seconds if good else None)
--- a/src/cicadafront/health/detector.py
+++ b/src/cicadafront/health/detector.py
@@ -57,6 +57,9 @@
 # Broken answers condemn a target without fresh reports after this time.
 FAULT_PATIENCE_SECONDS = 0.3
 RECENT_SECONDS = 4.0
+# A target that was ejected is likelier to be gray than any other: half the
+# evidence condemns it while it returns.
+RETURN_ALARM = evidence.ALARM / 2
 LOWEST_SUSPICIOUS_WEIGHT = 0.25
 
 
