Judge, eject and queue with the health and routing modules in the daemon

Cause: the demo's stalled target was never ejected and kept a third of the local requests. Change: health.service feeds the agent's outcomes to the detectors, exchanges summaries between agents, asks shard owners for permits and publishes ejections; health.permit_owner serves permits; health.crashes shares crash suspects; routing.slots puts the fair queue in front of the slots; answers with a foreign exchange id or a wrong digest count as crossed or mangled; an ejected target's running repeatable requests fail at once, so that the entry retries them. The picker prefers a local target only while its weight is at least half: a gray local target with weight 0.05 got every local request.

--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -37,7 +37,7 @@
         self.clock = clock
         self.idle = idle.IdleConnections(clock, watcher)
         self.accepting = True
-        self.running: set[object] = set()
+        self.running: set[run.Run] = set()
 
     def open(
         self, request: exchange.OpenRequest, response: exchange.ResponseSink
@@ -68,3 +68,9 @@
         if found.target.state is not model.TargetState.SERVING:
             raise no_new_work(id)
         return found
+
+    def abandon(self, target: str) -> None:
+        """Fails the repeatable requests that an ejected target stalls."""
+        for running in list(self.running):
+            if running.target == target:
+                running.abandon()
--- a/src/cicadafront/agent/observer.py
+++ b/src/cicadafront/agent/observer.py
@@ -13,7 +13,7 @@
 
     Attributes:
         status: HTTP status.
-        seconds: Time from the hand-over to the end of the answer.
+        seconds: Time from the end of the request to the head of the answer.
     """
 
     status: int
@@ -26,7 +26,9 @@
 
     Attributes:
         kind: `refused` (no connection), `closed` (no answer), `short` (the
-            body ended early) or `mangled` (no valid answer, or bytes beyond).
+            body ended early), `mangled` (no valid answer, bytes beyond, or a
+            wrong digest), `crossed` (answer to another request) or `stalled`
+            (given up because the target is ejected).
     """
 
     kind: str
@@ -57,7 +59,14 @@
     def started(
         self, now: float, target: str, request: exchange.OpenRequest
     ) -> object:
-        """Notes a hand-over and returns a token for `finished`."""
+        """Notes a request that is wholly with the target.
+
+        Returns:
+            A token for `answered` and `finished`.
+        """
+
+    def answered(self, now: float, token: object) -> None:
+        """Notes the head of the answer; the caller paces what follows."""
 
     def finished(self, now: float, token: object, outcome: Outcome) -> None:
         """Notes the end of an exchange."""
@@ -74,6 +83,9 @@
     ) -> object:
         """Returns an empty token."""
 
+    def answered(self, now: float, token: object) -> None:
+        """Ignores the head."""
+
     def finished(self, now: float, token: object, outcome: Outcome) -> None:
         """Ignores the outcome."""
 
--- a/src/cicadafront/agent/queue.py
+++ b/src/cicadafront/agent/queue.py
@@ -22,6 +22,7 @@
         account: Client account; empty on open routes.
         weight: Share of the account.
         deadline: Time until which it may wait, in seconds of the clock.
+        fingerprint: Digest that recognises the request when sent again.
     """
 
     target: str
@@ -29,6 +30,7 @@
     account: str = ""
     weight: float = 1.0
     deadline: float = 0.0
+    fingerprint: bytes = b""
 
 
 class Queue(Protocol):
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -1,20 +1,43 @@
 """One exchange at a target."""
 
 import enum
+import itertools
+import random
 from typing import Any, Protocol
 
 from cicadafront import errors, headers, model
-from cicadafront.agent import connection, idle, observer, queue, targets
+from cicadafront.agent import (
+    connection,
+    idle,
+    observer,
+    queue,
+    targets,
+    verify,
+)
+from cicadafront.health import suspects
 from cicadafront.peer import exchange
 
 DEADLINE_HEADER = b"X-Deadline-Ms"
-_DROPPED = frozenset({DEADLINE_HEADER.lower()})
+ACCOUNT_HEADER = b"X-Client-Account"
+# Callers must not set these.
+_DROPPED = frozenset(
+    {
+        DEADLINE_HEADER.lower(),
+        ACCOUNT_HEADER.lower(),
+        verify.EXCHANGE_ID_HEADER.lower(),
+    }
+)
+# A caller learns of a possible crash after the other instances do, so that it
+# cannot send the request to one that does not know it yet.
+_HELD_KINDS = frozenset({"closed", "short"})
 
 _REASONS = {
     "refused": "accepts no connections",
     "closed": "closed the connection without an answer",
     "short": "broke off its answer",
     "mangled": "sent bytes that are no valid answer",
+    "crossed": "answered another request",
+    "stalled": "stalls and is ejected",
 }
 
 
@@ -27,12 +50,15 @@
     clock: Any
     idle: idle.IdleConnections
     accepting: bool
-    running: set[object]
+    running: "set[Run]"
 
     def place(self, id: str) -> targets.LocalTarget:
         """Returns a target that takes work, or raises a `RequestError`."""
 
 
+_EXCHANGE_IDS = itertools.count(random.SystemRandom().getrandbits(62))
+
+
 class _State(enum.Enum):
     QUEUED = "queued"
     CONNECTING = "connecting"
@@ -62,7 +88,10 @@
         self._ended = False
         self._token: object = None
         self._started = 0.0
-        self._status = 0
+        self._headed = False
+        self._answered = observer.Completed(0, 0.0)
+        exchange_id = b"%016x" % next(_EXCHANGE_IDS)
+        self._check = verify.AnswerCheck(exchange_id, request.head.method)
 
     def start(self) -> None:
         """Asks for a slot."""
@@ -78,6 +107,7 @@
             request.account,
             request.weight,
             self._deadline,
+            request.fingerprint,
         )
         self._timer = self._agent.clock.callLater(request.timeout, self._expire)
         self._agent.slots.submit(self._entry, self._connect, self.refuse)
@@ -96,9 +126,13 @@
         self._ended = True
         if self._state is _State.RUNNING and self._connection is not None:
             self._connection.send_end()
+            self._judge()
 
     def cancel(self) -> None:
         """Closes the target connection."""
+        self._agent.running.discard(self)
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
         self._close(observer.Cancelled())
 
     def consumed(self, count: int) -> None:
@@ -143,18 +177,23 @@
             connection.abort()
             self._expire()
             return
-        now = self._agent.clock.seconds()
         self._connection = connection
         self._state = _State.RUNNING
-        self._started = now
-        watcher = self._agent.watcher
-        self._token = watcher.started(now, self._request.target, self._request)
-        connection.send_head(self._head(now))
+        connection.send_head(self._head(self._agent.clock.seconds()))
         pending, self._pending = self._pending, []
         for data in pending:
             connection.send_body(data)
         if self._ended:
             connection.send_end()
+            self._judge()
+
+    def _judge(self) -> None:
+        """Starts to judge the target: the whole request is with it."""
+        if self._token is None:
+            self._started = self._agent.clock.seconds()
+            self._token = self._agent.watcher.started(
+                self._started, self._request.target, self._request
+            )
 
     def _head(self, now: float) -> model.RequestHead:
         head = self._request.head
@@ -167,26 +206,41 @@
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
         kept.append((DEADLINE_HEADER, b"%d" % remaining))
+        kept.append((verify.EXCHANGE_ID_HEADER, self._check.exchange_id))
+        if self._request.account:
+            kept.append((ACCOUNT_HEADER, self._request.account.encode()))
         return model.RequestHead(head.method, head.path, tuple(kept))
 
     # Answer, from the target.
 
     def answer_head(self, head: model.ResponseHead) -> None:
         """Passes on the head of the answer."""
-        self._status = head.status
-        self._response.head(head, self._load())
+        checked = self._check.head(head)
+        if checked is None:
+            self.broken("crossed")
+            return
+        self._headed = True
+        self._judge()
+        now = self._agent.clock.seconds()
+        # The caller paces the rest of the answer, so its time is not judged.
+        self._answered = observer.Completed(head.status, now - self._started)
+        self._agent.watcher.answered(now, self._token)
+        self._response.head(checked, self._load())
 
     def answer_body(self, data: bytes) -> None:
         """Passes on a piece of the answer."""
+        self._check.body(data)
         self._response.body(data)
 
     def answer_end(self, reusable: bool, mangled: bool) -> None:
         """Passes on the end of the answer and frees the slot."""
         if self._state is not _State.RUNNING:
             return
+        if not self._check.intact():
+            self.broken("mangled")
+            return
         found, self._connection = self._connection, None
-        seconds = self._agent.clock.seconds() - self._started
-        outcome: observer.Outcome = observer.Completed(self._status, seconds)
+        outcome: observer.Outcome = self._answered
         if mangled:
             outcome = observer.Failed("mangled")
         if reusable and found is not None and self._agent.accepting:
@@ -204,19 +258,36 @@
         executed = errors.Executed.UNKNOWN
         if self._state is not _State.RUNNING:
             executed = errors.Executed.NO
-            # Only a hand-over gets a token; a refused connection counts too.
-            self._token = self._agent.watcher.started(
-                self._agent.clock.seconds(),
-                self._request.target,
-                self._request,
-            )
-        self._close(observer.Failed(kind), judged=True)
+        self._judge()
+        self._close(observer.Failed(kind))
         error = errors.TargetFailedError(
             f"Target {self._request.target} {_REASONS[kind]}.",
             executed=executed,
         )
+        if kind not in _HELD_KINDS:
+            self._report(error)
+            return
+        # A planned stop waits for the report.
+        self._agent.running.add(self)
+        self._timer = self._agent.clock.callLater(
+            suspects.CRASH_HOLD_SECONDS, self._report, error
+        )
+
+    def _report(self, error: errors.RequestError) -> None:
+        self._agent.running.discard(self)
         self._response.fail(error, self._load())
 
+    def abandon(self) -> None:
+        """Fails a repeatable request that an ejected target stalls."""
+        running = self._state is _State.RUNNING and not self._headed
+        if running and self._request.repeatable:
+            self.broken("stalled")
+
+    @property
+    def target(self) -> str:
+        """Id of the target."""
+        return self._request.target
+
     def body_consumed(self, count: int) -> None:
         """Opens the window for further request bytes."""
         self._response.consumed(count)
@@ -248,10 +319,16 @@
             self._close(observer.Cancelled())
             self._response.fail(error, self._load())
 
-    def _close(self, outcome: observer.Outcome, judged: bool = False) -> None:
+    def _judged(self, outcome: observer.Outcome) -> None:
+        """Reports an outcome of what was judged since `_judge`, if any."""
+        token, self._token = self._token, None
+        if token is not None:
+            now = self._agent.clock.seconds()
+            self._agent.watcher.finished(now, token, outcome)
+
+    def _close(self, outcome: observer.Outcome) -> None:
         if self._state is _State.DONE:
             return
-        judged = judged or self._state is _State.RUNNING
         self._state = _State.DONE
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
@@ -259,9 +336,7 @@
             self._connection.abort()
             self._connection = None
         self._pending.clear()
-        if judged:
-            now = self._agent.clock.seconds()
-            self._agent.watcher.finished(now, self._token, outcome)
+        self._judged(outcome)
         self._agent.running.discard(self)
         if self._entry is not None:
             self._agent.slots.remove(self._entry)
--- a/src/cicadafront/config/sync.py
+++ b/src/cicadafront/config/sync.py
@@ -125,6 +125,11 @@
         """Tells whether keys may be honoured at this time."""
         return self._trust.confirmed(now, self._held.revision)
 
+    @property
+    def store_away_since(self) -> float | None:
+        """Time of the first failed store call of an outage, or None."""
+        return self._store.away_since
+
     def evidence_age(self, now: float) -> float:
         """Returns the age of the evidence in seconds, for reports."""
         return self._trust.age(now)
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -9,10 +10,13 @@
 from twisted.web import resource, server
 
 from cicadafront import model, ports, settings
+from cicadafront.agent import queue
 from cicadafront.agent import targets as agent_targets
 from cicadafront.config import current, sync
 from cicadafront.config import model as config_model
 from cicadafront.daemon import options, root, supervisor
+from cicadafront.health import crashes, permit_owner, probe
+from cicadafront.health import service as health_service
 from cicadafront.limits import assembly as limits_assembly
 from cicadafront.membership import (
     announce,
@@ -21,7 +25,8 @@
     records,
     service,
 )
-from cicadafront.store import client, outage
+from cicadafront.routing import picker, retry_budgets, slots, subset_view
+from cicadafront.store import client
 from cicadafront.telemetry import metrics, operators, tracing
 
 
@@ -30,6 +35,7 @@
     """Targets beside this instance, as they announced themselves."""
 
     registry: announce.TargetRegistry
+    health: health_service.HealthService
     instance: str
     data_centre: str
 
@@ -43,11 +49,17 @@
             found.service,
             self.instance,
             found.slots,
-            state=found.state,
+            state=self._state(found),
             data_centre=self.data_centre,
         )
         return agent_targets.LocalTarget(target, *found.address)
 
+    def _state(self, found: announce.LocalTarget) -> model.TargetState:
+        ejected, _ = self.health.state(found.id)
+        if ejected and found.state is model.TargetState.SERVING:
+            return model.TargetState.EJECTED
+        return found.state
+
 
 class OperatorResource(resource.Resource):
     """Serves operators, and the announcements of targets."""
@@ -100,6 +112,10 @@
         self.http_store = client.HttpStore(reactor, chosen.store_url)
         self.held = current.CurrentConfiguration()
         self.started = time.time()
+        self.prober = limits_assembly.TcpProber(reactor)
+        # Set by the composition root once the agent and the links exist.
+        self.abandon: Callable[[str], None] = lambda _: None
+        self.is_down: Callable[[str], bool] = lambda _: False
 
     def build(self, calls: ports.PeerCalls) -> root.Fleet:
         """Creates the parts; a `root.FleetBuilder`."""
@@ -107,6 +123,7 @@
         self._build_membership()
         self._build_configuration()
         self._build_limits()
+        self._build_health()
         return self._fleet()
 
     def _build_membership(self) -> None:
@@ -126,16 +143,16 @@
             self.reactor, self.gossip, self.calls, self.rng, self.registry
         )
         self.directory = self.membership.directory
+        self.subset = subset_view.SubsetView(chosen.instance, self.directory)
 
     def _build_configuration(self) -> None:
         chosen = self.settings
-        self.store = outage.OutageStore(self.http_store, self.reactor, self.rng)
         self.sync = sync.ConfigSync(
             chosen.instance,
             chosen.data_centre,
             clock=self.reactor,
             rng=self.rng,
-            store=self.store,
+            store=self.http_store,
             directory=self.directory,
             broadcaster=self.membership.broadcaster,
             calls=self.calls,
@@ -158,11 +175,70 @@
             self.directory,
             self.reactor,
             self.rng,
-            limits_assembly.TcpProber(self.reactor),
+            self.prober,
             self._account,
             unix_offset=time.time() - self.reactor.seconds(),
         )
 
+    def _build_health(self) -> None:
+        configuration = self.held_configuration
+        self.crashes = crashes.Crashes(
+            self.reactor,
+            self.directory,
+            self.membership.broadcaster,
+            self._refuses,
+        )
+        self.health = health_service.HealthService(
+            self.settings.instance,
+            clock=self.reactor,
+            rng=self.rng,
+            registry=self.registry,
+            directory=self.directory,
+            peers=self.calls,
+            owners=self.limits.owners,
+            configuration=configuration,
+            crashed=self.crashes,
+            probe=self._probe,
+            abandon=self.abandon,
+        )
+        self.permits = permit_owner.PermitOwner(
+            self.limits.ownership,
+            self.calls,
+            self.directory,
+            self.reactor,
+            configuration,
+            self.gossip.reachable,
+        )
+        self.slots = slots.FairSlots(self.reactor, self._must_run_alone)
+        self.picker = picker.Picker(
+            self.rng,
+            self.subset.targets,
+            self._usable,
+            self.settings.data_centre,
+        )
+
+    def held_configuration(self) -> config_model.Configuration:
+        """Returns the configuration in force, empty before the first."""
+        return self.held.configuration
+
+    def _must_run_alone(self, entry: queue.Entry) -> bool:
+        return self.crashes.must_run_alone(entry.account, entry.fingerprint)
+
+    def _usable(self, now: float, instance: str) -> bool:
+        return not self.is_down(instance) and self.gossip.reachable(instance)
+
+    def _refuses(self, target: str) -> "defer.Deferred[bool]":
+        local = self.registry.target(target)
+        if local is None:
+            return defer.succeed(True)
+        return self.prober(*local.address)
+
+    def _probe(self, target: str) -> "defer.Deferred[bool]":
+        local = self.registry.target(target)
+        if local is None:
+            return defer.succeed(False)
+        return probe.probe(self.reactor, local.address)
+
     def _account(self, id: str) -> config_model.ClientAccount | None:
         return self.held.configuration.accounts.get(id)
 
@@ -182,11 +258,27 @@
             "configuration", self.sync.start, self.sync.stop
         )
         limits = supervisor.Step("limits", self.limits.start, lambda: None)
+        health = [
+            supervisor.Periodic(name, self.reactor, seconds, action, self.rng)
+            for name, seconds, action in (
+                ("health", health_service.TICK_SECONDS, self.health.tick),
+                ("permits", permit_owner.TICK_SECONDS, self.permits.tick),
+                ("queues", slots.TICK_SECONDS, self.slots.tick),
+            )
+        ]
         return root.Fleet(
             directory=self.directory,
             beside=RegisteredTargets(
-                self.registry, chosen.instance, chosen.data_centre
+                self.registry,
+                self.health,
+                chosen.instance,
+                chosen.data_centre,
             ),
+            slots=self.slots,
+            watcher=self.health,
+            suspects=self.crashes,
+            budget=retry_budgets.RetryBudgets(),
+            picker=self.picker,
             configuration=self.configuration,
             admission=self.limits.admission,
             records=self.limits.outcomes,
@@ -194,7 +286,7 @@
             confirmed=lambda: self.sync.confirmed(self.reactor.seconds()),
             announce_leaving=self.membership.leave,
             before_links=[endpoints],
-            after_links=[membership, configuration, limits],
+            after_links=[membership, configuration, limits, *health],
         )
 
     def configuration(self) -> config_model.Configuration | None:
@@ -219,13 +311,15 @@
     def _not_ready(self) -> str:
         if not self.held.revision:
             return "no configuration yet"
+        if not self.limits.settled():
+            return "some shards have no owner yet"
         if not self.sync.confirmed(self.reactor.seconds()):
             return "the configuration cannot be confirmed"
         return ""
 
     def _status(self) -> operators.Json:
         now = self.reactor.seconds()
-        away = self.store.away_since
+        away = self.sync.store_away_since
         return {
             "instance": self.settings.instance,
             "data_centre": self.settings.data_centre,
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -76,6 +76,8 @@
     logs.start(sys.stderr, chosen.instance, level)
     built = assembly.FleetAssembly(reactor, chosen)
     daemon = root.Daemon(reactor, built.options, built.build)
+    built.abandon = daemon.agent.abandon
+    built.is_down = daemon.calls.is_down
     return run(daemon)
 
 
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -105,11 +105,12 @@
         return self._current.request if self._current is not None else None
 
     def _try(self, otherwise: errors.RequestError) -> None:
-        now = self._site.clock.seconds()
         via = ""
-        target = self._site.picker.pick(
-            self._service, frozenset(self._excluded), now
-        )
+        try:
+            target = self._pick()
+        except errors.RequestError as error:
+            self._parent.answer_failed(error)
+            return
         if target is None:
             target, via = self._by_relay()
         if target is None:
@@ -129,6 +130,24 @@
         if self._body.complete and not opened.done:
             sink.end()
 
+    def _pick(self) -> model.Target | None:
+        lone = self._site.suspects.lone_target(
+            self._order.account_id, self._fingerprint, self._service
+        )
+        if lone is None:
+            now = self._site.clock.seconds()
+            excluded = frozenset(self._excluded)
+            return self._site.picker.pick(self._service, excluded, now)
+        found = self._site.targets(self._service)
+        return next(
+            (
+                target
+                for target in found
+                if target.id == lone and lone not in self._excluded
+            ),
+            None,
+        )
+
     def _by_relay(self) -> tuple[model.Target | None, str]:
         while self._cut_off:
             target = self._cut_off.pop(0)
--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -38,6 +38,15 @@
     def check(self, account: str, fingerprint: bytes) -> None:
         """Raises `RequestCrashesTargetsError` for a refused request."""
 
+    def lone_target(
+        self, account: str, fingerprint: bytes, service: str
+    ) -> str | None:
+        """Returns the only target that may run a suspect, else None.
+
+        Raises:
+            RequestCrashesTargetsError: The request is refused.
+        """
+
 
 class NoSuspects:
     """Refuses nothing."""
@@ -45,6 +54,12 @@
     def check(self, account: str, fingerprint: bytes) -> None:
         """Accepts the request."""
 
+    def lone_target(
+        self, account: str, fingerprint: bytes, service: str
+    ) -> str | None:
+        """Suspects nothing."""
+        return None
+
 
 class LeastOfTwo:
     """Takes the less loaded of two random targets."""
--- a/src/cicadafront/emulator/processes.py
+++ b/src/cicadafront/emulator/processes.py
@@ -18,7 +18,8 @@
 import attrs
 
 HOST = "127.0.0.1"
-STOP_SECONDS = 10.0
+STOP_SECONDS = 20.0
+TARGETS_PER_SERVICE = 2
 
 
 def free_port() -> int:
@@ -35,7 +36,8 @@
     Attributes:
         name: Name of its folder under `examples`.
         data_centres: One instance runs in each.
-        services: Each instance has one target of each service beside it.
+        services: Each instance has two targets of each service beside it,
+            six in all, so that one may be ejected above the floor.
         slots: Slots of each target.
     """
 
@@ -198,11 +200,13 @@
     def add_instance(self, data_centre: str) -> Instance:
         """Adds an instance and its targets, not started yet."""
         number = len(self.instances) + 1
+        first = TARGETS_PER_SERVICE * (number - 1) + 1
         instance = Instance(f"{data_centre}-{number}", data_centre)
         self.instances[instance.id] = instance
         for service in self.deployment.services:
-            id = f"{service}-{number}"
-            self.targets[id] = EmulatedTarget(id, service, instance.id)
+            for place in range(first, first + TARGETS_PER_SERVICE):
+                id = f"{service}-{place}"
+                self.targets[id] = EmulatedTarget(id, service, instance.id)
         return instance
 
     def settings(self, instance: Instance) -> str:
--- a/src/cicadafront/emulator/target.py
+++ b/src/cicadafront/emulator/target.py
@@ -123,7 +123,7 @@
             path=path,
             key=headers.get(b"idempotency-key", b"").decode(),
             account=headers.get(b"x-client-account", b"").decode(),
-            request_id=headers.get(b"x-request-id", b"").decode(),
+            request_id=headers.get(b"x-exchange-id", b"").decode(),
             send_id=headers.get(b"x-send-id", b"").decode(),
             digest=self.digest.hexdigest(),
             length=self.length,
@@ -203,12 +203,12 @@
     ) -> None:
         """Sends an answer, cut after `sent` bytes if that is given."""
         assert self.request is not None
-        given = dict(self.request.headers).get(b"x-request-id", b"")
+        given = dict(self.request.headers).get(b"x-exchange-id", b"")
         headers = [
             (b"content-length", str(len(body)).encode()),
             (b"content-type", b"application/json"),
             (b"content-digest", content_digest(digest_of or body)),
-            (b"x-request-id", request_id or given),
+            (b"x-exchange-id", request_id or given),
         ]
         head = h11.Response(status_code=status, headers=headers)
         out = self.connection.send(head) or b""
--- a/src/cicadafront/health/detector.py
+++ b/src/cicadafront/health/detector.py
@@ -112,6 +112,7 @@
         self.alarm = evidence.ALARM
         self._warm_at = warm_since + COLD_SECONDS
         self._running: dict[int, _Running] = {}
+        self._answered: dict[int, _Running] = {}
         self._started: collections.deque[float] = collections.deque(maxlen=64)
         self._routes: dict[bytes, collections.deque[float]] = {}
         # Start and latency over baseline.
@@ -136,6 +137,7 @@
         }
         self._alarms = {}
         self._running.clear()
+        self._answered.clear()
         self._latest.clear()
 
     def started(self, now: float, request: outcomes.Work) -> None:
@@ -144,11 +146,19 @@
         self._running[request.serial] = _Running(now, key)
         self._started.append(now)
 
+    def answered(self, request: outcomes.Work) -> None:
+        """Stops to look for a stall: the caller paces the rest."""
+        running = self._running.pop(request.serial, None)
+        if running is not None:
+            self._answered[request.serial] = running
+
     def finished(
         self, now: float, request: outcomes.Work, outcome: outcomes.Outcome
     ) -> None:
         """Counts the outcome; unknown requests (see `reset`) are ignored."""
         running = self._running.pop(request.serial, None)
+        if running is None:
+            running = self._answered.pop(request.serial, None)
         if running is None:
             return
         match outcome:
--- a/src/cicadafront/limits/assembly.py
+++ b/src/cicadafront/limits/assembly.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from cicadafront import ports
-from cicadafront.limits import calls, claims, records
+from cicadafront.limits import calls, claims, records, shards
 from cicadafront.limits.admission import AccountLookup, AdmissionService
 from cicadafront.limits.outcomes import OutcomeService
 from cicadafront.limits.ownership import Ownership
@@ -24,6 +24,7 @@
 
     Attributes:
         ownership: Shards that this process owns.
+        owners: Finds the owners of shards and calls them.
         admission: Implements `ports.Admission`.
         outcomes: Implements `ports.OutcomeRecords`.
         records: Records of the shards that this process owns.
@@ -61,9 +62,9 @@
         self.ownership = OwnershipService(
             core, store, peers, directory, timer, rng, prober
         )
-        owners = calls.OwnerCalls(info.id, directory, peers, timer, rng)
+        self.owners = calls.OwnerCalls(info.id, directory, peers, timer, rng)
         self.admission = AdmissionService(
-            self.ownership, owners, peers, timer, accounts
+            self.ownership, self.owners, peers, timer, accounts
         )
         self.records = RecordsService(
             self.ownership,
@@ -74,7 +75,20 @@
             unix_offset,
             most_record_bytes,
         )
-        self.outcomes = OutcomeService(info.incarnation, owners, timer)
+        self.outcomes = OutcomeService(info.incarnation, self.owners, timer)
+
+    def settled(self) -> bool:
+        """Tells whether the owner of most shards is known or not needed.
+
+        An instance that owns no shards learns owners with its first calls.
+        """
+        core = self.ownership.core
+        if not core.is_candidate():
+            return True
+        known = sum(
+            core.owner(number) is not None for number in range(shards.SHARDS)
+        )
+        return known == shards.SHARDS
 
     def start(self) -> None:
         """Starts to claim shards."""
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -62,6 +62,10 @@
             return claim.epoch
         return None
 
+    def is_candidate(self) -> bool:
+        """Tells whether this process may own shards."""
+        return self._fleet.is_candidate(self.me.id)
+
     def authority_end(self, number: int) -> float:
         """Returns the time until which this process may act for a shard."""
         return self.shards[number].authority_end(
--- a/src/cicadafront/routing/picker.py
+++ b/src/cicadafront/routing/picker.py
@@ -14,6 +14,9 @@
 # Targets elsewhere are used once the chosen local one has this share of its
 # slots taken.
 HEADROOM = 0.8
+# A local target whose weight is below this share of its usual one is chosen
+# by weight among all, or a gray one would get every local request.
+LOCAL_SHARE = 0.5
 # A report of load is worth nothing after this time.
 LOAD_SECONDS = 2.0
 
@@ -96,7 +99,12 @@
         ]
         if not able:
             return None
-        near = [t for t in able if t.data_centre == self._data_centre]
+        near = [
+            target
+            for target in able
+            if target.data_centre == self._data_centre
+            and _share(target, now) >= LOCAL_SHARE
+        ]
         chosen = self._lighter(near, now) if near else None
         if chosen is None or self._utilisation(chosen, now) >= HEADROOM:
             chosen = self._lighter(able, now)
@@ -134,6 +142,10 @@
 
 
 def _weight(target: model.Target, now: float) -> float:
+    return target.slots * _share(target, now)
+
+
+def _share(target: model.Target, now: float) -> float:
     age = max(0.0, now - target.warm_since)
     ramp = COLD_WEIGHT + (1 - COLD_WEIGHT) * age / COLD_SECONDS
-    return target.slots * target.weight * min(1.0, ramp)
+    return target.weight * min(1.0, ramp)
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -1,5 +1,8 @@
 """Tests of exchanges between the agent and its targets."""
 
+import base64
+import hashlib
+import re
 import unittest
 
 from parameterized import parameterized
@@ -7,9 +10,11 @@
 
 from cicadafront import model
 from cicadafront.agent import idle, observer
+from cicadafront.health import suspects
 from cicadafront.peer import exchange
 from tests.support.agent import OK, Site, TargetTransport
 
+
 class HandOverTest(unittest.TestCase):
     """Guards against requests that reach a target changed."""
 
@@ -21,10 +26,11 @@
         )
         sink.body(b"abc")
         sink.end()
-        self.assertEqual(
+        self.assertRegex(
             site.transport.value(),
-            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
-            b"X-Deadline-Ms: 5000\r\n\r\nabc",
+            rb"\APOST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            rb"X-Deadline-Ms: 5000\r\nX-Exchange-Id: [0-9a-f]{16}\r\n"
+            rb"\r\nabc\Z",
         )
         site.receive(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
         self.assertEqual(response.events, [200, b"ok", "end"])
@@ -119,8 +125,13 @@
             site.receive(data)
         if reason:
             site.lose(reason)
+            # Held back until other instances know of a crash.
+            self.assertNotIn(("target_failed", "unknown"), response.events)
+            self.assertIn(sink, site.agent.running)
+            site.clock.advance(suspects.CRASH_HOLD_SECONDS)
         self.assertEqual(response.events[-1], ("target_failed", "unknown"))
         self.assertNotIn("end", response.events)
+        self.assertFalse(site.agent.running)
         self.assertEqual(site.watcher.outcomes, [observer.Failed(kind)])
         self.assertEqual(site.queue.load("t").slots_in_use, 0)
 
@@ -132,6 +143,50 @@
         site.lose()
         self.assertEqual(response.events, [200, b"all", "end"])
 
+    @parameterized.expand(
+        [
+            ("right digest", b"ok", "end"),
+            ("wrong digest", b"no", ("target_failed", "unknown")),
+        ]
+    )
+    def test_digest(self, _name, body, expected):
+        digest = base64.b64encode(hashlib.sha256(b"ok").digest())
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        site.receive(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            b"Content-Digest: sha-256=:" + digest + b":\r\n\r\n" + body
+        )
+        self.assertEqual(response.events[-1], expected)
+
+    @parameterized.expand([("own", True), ("of another request", False)])
+    def test_copied_exchange_id(self, _name, own):
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        sent = re.search(rb"X-Exchange-Id: (\w+)", site.transport.value())[1]
+        copied = sent if own else b"0" * 16
+        site.receive(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+            b"X-Exchange-Id: " + copied + b"\r\n\r\nok"
+        )
+        if own:
+            self.assertEqual(response.events, [200, b"ok", "end"])
+        else:
+            failed = [observer.Failed("crossed")]
+            self.assertEqual(site.watcher.outcomes, failed)
+            self.assertEqual(response.events, [("target_failed", "unknown")])
+
+    @parameterized.expand([("repeatable", True), ("not repeatable", False)])
+    def test_stalled_request_of_an_ejected_target(self, _name, repeatable):
+        site = Site()
+        sink, response = site.open(repeatable=repeatable)
+        sink.end()
+        site.agent.abandon("t")
+        failed = [("target_failed", "unknown")] if repeatable else []
+        self.assertEqual(response.events, failed)
+
     def test_bytes_beyond_the_answer(self):
         site = Site()
         sink, response = site.open()
@@ -197,7 +252,10 @@
     @parameterized.expand([("waiting", 1, "no"), ("running", 0, "unknown")])
     def test_deadline(self, _name, index, executed):
         site = Site(slots=1)
-        ends = [site.open(timeout=1.0)[1] for _ in range(2)]
+        opened = [site.open(timeout=1.0) for _ in range(2)]
+        for sink, _ in opened:
+            sink.end()
+        ends = [response for _, response in opened]
         site.clock.advance(1.0)
         expected = [("deadline_exceeded", executed)]
         self.assertEqual(ends[index].events, expected)
@@ -280,6 +338,7 @@
     def test_cancel_closes_the_connection(self):
         site = Site()
         sink, response = site.open()
+        sink.end()
         sink.cancel()
         self.assertTrue(site.transport.aborted)
         site.receive(OK)
--- a/tests/emulator/test_target.py
+++ b/tests/emulator/test_target.py
@@ -93,7 +93,7 @@
         self.state.plan = faults.FaultPlan(faults.Fault.CROSS)
         _, headers, body = self.exchange(path="/second")
         self.assertEqual(json.loads(body)["path"], "/first")
-        self.assertEqual(headers[b"x-request-id"], b"crossed")
+        self.assertEqual(headers[b"x-exchange-id"], b"crossed")
 
     def test_runs_are_logged(self):
         headers = [("idempotency-key", "k1"), ("authorization", "secret")]
--- a/tests/support/agent.py
+++ b/tests/support/agent.py
@@ -63,6 +63,9 @@
     def started(self, now, target, request):
         return target
 
+    def answered(self, now, token):
+        pass
+
     def finished(self, now, token, outcome):
         self.outcomes.append(outcome)
 
