Wait the whole leave time in a planned stop

Cause: a stop without links and callers ended at once, while other instances could still choose the targets beside it until they had heard of the stop.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -219,7 +219,7 @@
         self._fleet.announce_leaving()
         # Peers choose the targets here until they learn of the stop, and
         # callers may have sent a request on a connection that looks idle.
-        yield self._until(began + settings.leave_seconds, self._unused)
+        yield task.deferLater(self._reactor, settings.leave_seconds)
         self.agent.accepting = False
         self.agent.idle.close()
         self._edge.close_idle()
@@ -229,10 +229,6 @@
         yield self.tree.stop()
         supervisor.log("stopped.")
 
-    def _unused(self) -> bool:
-        """Whether nobody can still send work here."""
-        return not (self._peers.links or self._edge.connections)
-
     def _finished(self) -> bool:
         busy = any(accepted.busy for accepted in self._peers.links)
         running = self._forwarder.running or self.agent.running
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -10,6 +10,7 @@
 from cicadafront.peer import exchange
 from tests.support.agent import OK, Site, TargetTransport
 
+
 class HandOverTest(unittest.TestCase):
     """Guards against requests that reach a target changed."""
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -72,7 +72,7 @@
     @parameterized.expand([("entry", 0), ("agent", 1)])
     def test_running_requests_are_finished(self, _name, stopped):
         daemons = [
-            self._daemon(id, leave_seconds=0.2, stop_seconds=30)
+            self._daemon(id, leave_seconds=1.0, stop_seconds=30)
             for id in ("a", "b")
         ]
         target = self._slow_target(1.5)
