Count an instance as ready once no shard waits for its claim

Cause: the first requests of a new fleet waited a second for an owner and were refused; the daemon's start tests still used the former settings keys. Change: readiness includes that no shard without owner ranks this instance first; the start tests use the settings of docs/operating. A first try that waited for the owners of all 256 shards never became ready, because an instance reads the claims of others only every 60 s; it was dropped. Conclusion: each instance vouches for its own share of the shards.

--- a/src/cicadafront/limits/assembly.py
+++ b/src/cicadafront/limits/assembly.py
@@ -9,7 +9,7 @@
 from twisted.internet.protocol import Factory, Protocol
 
 from cicadafront import ports
-from cicadafront.limits import calls, claims, records, shards
+from cicadafront.limits import calls, claims, records
 from cicadafront.limits.admission import AccountLookup, AdmissionService
 from cicadafront.limits.outcomes import OutcomeService
 from cicadafront.limits.ownership import Ownership
@@ -78,17 +78,8 @@
         self.outcomes = OutcomeService(info.incarnation, self.owners, timer)
 
     def settled(self) -> bool:
-        """Tells whether the owner of most shards is known or not needed.
-
-        An instance that owns no shards learns owners with its first calls.
-        """
-        core = self.ownership.core
-        if not core.is_candidate():
-            return True
-        known = sum(
-            core.owner(number) is not None for number in range(shards.SHARDS)
-        )
-        return known == shards.SHARDS
+        """Tells whether no shard waits for this process to claim it."""
+        return self.ownership.core.idle()
 
     def start(self) -> None:
         """Starts to claim shards."""
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -62,9 +62,14 @@
             return claim.epoch
         return None
 
-    def is_candidate(self) -> bool:
-        """Tells whether this process may own shards."""
-        return self._fleet.is_candidate(self.me.id)
+    def idle(self) -> bool:
+        """Tells whether no shard without owner waits for this process."""
+        for state in self.shards:
+            if state.claim is None:
+                first = self._fleet.first(state.number)
+                if first is None or first.id == self.me.id:
+                    return False
+        return True
 
     def authority_end(self, number: int) -> float:
         """Returns the time until which this process may act for a shard."""
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -12,6 +12,7 @@
 
 from parameterized import parameterized
 
+from cicadafront.emulator import processes
 from tests.support import fleet
 
 
@@ -149,7 +150,11 @@
         taken = fleet.Target(fleet.echo)
         self.addCleanup(taken.close)
         done = self._run(
-            'instance = "a"\ndata_centre = "dc"\npeer = "127.0.0.1:0"\n'
+            'instance = "a"\ndata_centre = "dc"\n'
+            'store_url = "http://127.0.0.1:1"\n[addresses]\n'
+            f'peer = "127.0.0.1:{processes.free_port()}"\n'
+            f'gossip = "127.0.0.1:{processes.free_port()}"\n'
+            f'operators = "127.0.0.1:{processes.free_port()}"\n'
             f'edge = "127.0.0.1:{taken.port}"\n'
         )
         self.assertEqual(done.returncode, 1)
@@ -158,7 +163,7 @@
     @parameterized.expand(
         [
             ("no name", 'data_centre = "dc"', "instance"),
-            ("no port", 'instance = "a"\ndata_centre = "dc"', "edge"),
+            ("no port", 'instance = "a"\ndata_centre = "dc"', "addresses.peer"),
             ("no TOML", "instance", "settings.toml"),
         ]
     )
