Start a takeover when a call to the owner is refused

Change: an instance whose call was refused tells the shard's candidates, and the deputy probes at once. A suspicion alone changes nothing; the proof is still the refused connection.

--- a/src/cicadafront/limits/calls.py
+++ b/src/cicadafront/limits/calls.py
@@ -15,6 +15,8 @@
 RETRY_SECONDS = (0.05, 0.15)
 # A call to an owner is tried elsewhere after this long without an answer.
 CALL_SECONDS = 0.5
+SUSPECT = "owner.suspect"
+SUSPECT_SECONDS = 0.5
 
 
 class Timer(Protocol):
@@ -106,6 +108,7 @@
         self._timer = timer
         self._rng = rng
         self._candidates: list[ports.InstanceInfo] | None = None
+        self._suspected: dict[str, float] = {}
         directory.on_change(self._forget_candidates)
 
     def _forget_candidates(self) -> None:
@@ -155,7 +158,7 @@
             reply = None
             if target is not None:
                 reply = yield self._once(
-                    target, method, packed, min(each, end - sent)
+                    shard, target, method, packed, min(each, end - sent)
                 )
             if target and reply is not None and "owner" not in reply:
                 self.known[shard] = target
@@ -182,13 +185,31 @@
         return True
 
     @defer.inlineCallbacks
-    def _once(self, target: str, method: str, body: bytes, timeout: float):
+    def _once(
+        self, shard: int, target: str, method: str, body: bytes, timeout: float
+    ):
         try:
             answer = yield bounded(
                 self._peers.call(target, method, body, timeout),
                 self._timer,
                 timeout,
             )
-        except (errors.CicadafrontError, TimeoutError, defer.TimeoutError):
+        except errors.CallFailedError as error:
+            if error.code == errors.CallFailedError.code:
+                self._tell_deputies(shard, target)
+            return None
+        except (errors.CicadafrontError, defer.TimeoutError):
             return None
         return unpack(answer)
+
+    def _tell_deputies(self, shard: int, target: str) -> None:
+        """Lets the shard's candidates probe an instance at once."""
+        now = self._timer.seconds()
+        if now < self._suspected.get(target, now):
+            return
+        self._suspected[target] = now + SUSPECT_SECONDS
+        for id in self.likely(shard):
+            if id != target:
+                self._peers.call(
+                    id, SUSPECT, pack(target), SUSPECT_SECONDS
+                ).addErrback(ignore)
--- a/src/cicadafront/limits/decisions.py
+++ b/src/cicadafront/limits/decisions.py
@@ -13,6 +13,7 @@
 # Credit of a dead owner ends this long after the proof of its death: the
 # lifetime of a grant and 2% for clocks that differ.
 GRANT_TAIL_SECONDS = 2.05
+SUSPECT_SECONDS = 2.0
 # A shard moves to the candidate that ranks first once it has done so this long.
 REBALANCE_SECONDS = 30.0
 # Journals of former owners are read for as long as records live, plus an hour
@@ -27,6 +28,8 @@
         me: This process.
         gone: Processes that have certainly ended.
         candidates: Instances that may own shards.
+        suspected: Instances that refused a call, with the time until which
+            they are probed though the directory still believes them alive.
     """
 
     def __init__(self, me: claims.Member, data_centre: str, unix_offset: float):
@@ -36,6 +39,7 @@
         self._data_centre = data_centre
         self._unix_offset = unix_offset
         self._instances: dict[str, ports.InstanceInfo] = {}
+        self.suspected: dict[str, float] = {}
         self._dead_since: dict[tuple[str, int], float] = {}
         self._order: dict[int, list[ports.InstanceInfo]] = {}
 
@@ -158,7 +162,7 @@
         return Takeover(Kind.DEPUTY, clean, now)
     if fleet.gone.certain(owner):
         return Takeover(Kind.DEPUTY, clean, now + GRANT_TAIL_SECONDS)
-    if fleet.alive(owner):
+    if fleet.alive(owner) and now >= fleet.suspected.get(owner.id, now):
         return Takeover()
     return Takeover(probe=(owner,))
 
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -64,9 +64,8 @@
 
     def authority_end(self, number: int) -> float:
         """Returns the time until which this process may act for a shard."""
-        return self.shards[number].authority_end(
-            self.lease.id, self.lease.confirmed_at
-        )
+        lease = self.lease
+        return self.shards[number].authority_end(lease.id, lease.confirmed_at)
 
     def memory_only(self, now: float, number: int) -> bool:
         """Tells whether begins may be kept without the journal.
@@ -154,6 +153,12 @@
             self._schedule.by("read", now)
         return state.promise(now, ask, self.me)
 
+    def suspect(self, now: float, instance: str) -> None:
+        """Takes that a call to an instance failed; its deputies probe it."""
+        self._fleet.suspected[instance] = now + decisions.SUSPECT_SECONDS
+        if all(self.owner(state.number) != instance for state in self.shards):
+            self._schedule.by("read", now)
+
     def proved_gone(self, member: claims.Member) -> None:
         """Takes the proof that a process has ended."""
         self._fleet.gone.proved(member)
@@ -195,8 +200,7 @@
     def settle(self, now: float, number: int) -> int | None:
         """Ends an outage: further begins must be in the journal.
 
-        Returns the number of the outage; call `settled` with it once all
-        begins of the shard are in the journal.
+        Returns its number for `settled`, once all begins are journaled.
         """
         state = self.shards[number]
         if not self._store_confirmed(now) or state.pending is not None:
@@ -222,8 +226,7 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Returns what is due; call it at least every 0.25 s."""
-        result = self._store_calls(now)
-        claims_left = CLAIMS_PER_TICK
+        result, claims_left = self._store_calls(now), CLAIMS_PER_TICK
         for state in self.shards:
             if state.pending is not None:
                 result += self._resend(now, state)
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -80,6 +80,7 @@
         self._stopped: defer.Deferred[None] | None = None
         peers.register(CONFIRM, self._serve_confirm)
         peers.register(HANDOVER, self._serve_handover)
+        peers.register(calls.SUSPECT, self._serve_suspect)
         directory.on_change(self._directory_changed)
 
     def start(self) -> None:
@@ -243,6 +244,7 @@
         refused = yield self._prober(member.host, member.port)
         if refused:
             self.core.proved_gone(member)
+            self.run(self.core.tick(self._timer.seconds()))
 
     @defer.inlineCallbacks
     def _ask(self, deputy: claims.Member, asks: tuple[Ask, ...]):
@@ -270,6 +272,10 @@
             answers.append(self.core.asked(now, ask))
         return calls.pack(answers)
 
+    def _serve_suspect(self, _caller: str, body: bytes) -> bytes:
+        self.core.suspect(self._timer.seconds(), calls.unpack(body))
+        return b"{}"
+
     def _acquired(self, event: actions.Acquired) -> None:
         _log(
             "Owns the shard.",
--- a/tests/limits/test_faults.py
+++ b/tests/limits/test_faults.py
@@ -243,6 +243,26 @@
             scene.watched.advance(bound)
             self.assertTrue(scene.deputy.acts(0))
 
+    def test_refused_call_starts_the_takeover(self):
+        """The directory takes 1.5 s to notice; a refused call is faster."""
+        with mock.patch.object(shards, "SHARDS", 1):
+            scene = Scene(11)
+            scene.owner.process.crash()
+            for node in scene.others:
+                scene.watched.admit(node, "amani")
+            scene.watched.advance(1.0)
+            self.assertTrue(scene.deputy.acts(0))
+
+    def test_suspicion_of_a_live_owner_changes_nothing(self):
+        with mock.patch.object(shards, "SHARDS", 1):
+            scene = Scene(12)
+            owner = scene.owner.process.info.id
+            for _ in range(20):
+                core = scene.deputy.limits.ownership.core
+                core.suspect(scene.deputy.process.seconds(), owner)
+                scene.watched.advance(0.25)
+            self.assertEqual(scene.fleet.acting(0), [owner])
+
     def test_pair_cut_off_is_not_replaced(self):
         """A timeout is no proof that owner and deputy have ended."""
         with mock.patch.object(shards, "SHARDS", 1):
