--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -1,8 +1,7 @@
 """Decides which shards this process owns and until when it may act.
 
-`Ownership` is pure: the caller reports events with the current time and
-executes the actions that come back. The rules are in docs/design.md, 3.5; the
-reasons for those that differ are in docs/limits.md.
+`Ownership` is pure: the caller reports events and executes the actions that
+come back. The rules are in docs/design.md, 3.5, and docs/limits.md.
 """
 
 import math
@@ -35,6 +34,7 @@
         me: This process.
         shards: State of each shard.
         lease: Lease of this process.
+        schedule: Due times of store calls.
         stopping: Whether a planned stop has begun.
     """
 
@@ -47,8 +47,8 @@
     ):
         self.me = me
         self.shards = [Shard(number) for number in range(shards.SHARDS)]
-        self._schedule = Schedule(rng)
-        self.lease = Lease(self._schedule, rng)
+        self.schedule = Schedule(rng)
+        self.lease = Lease(self.schedule, rng)
         self.stopping = False
         self._rng = rng
         self._live: set[str] = set()
@@ -86,7 +86,7 @@
     ) -> None:
         """Takes what is now known of the fleet."""
         if self._fleet.update(now, instances):
-            self._schedule.by("read", now + 1.0)
+            self.schedule.by("read", now + 1.0)
 
     def lease_renewed(self, sent: float, lease: str) -> None:
         """Takes a confirmation of the lease by the store."""
@@ -98,16 +98,16 @@
 
     def store_failed(self, now: float, what: str) -> None:
         """Notes that the store did not answer `lease`, `read` or `leases`."""
-        self._schedule.failed(now, what)
+        self.schedule.failed(now, what)
 
     def leases_read(
         self, now: float, sent: float, live: dict[str, claims.Member]
     ) -> None:
         """Takes the live leases; an absent one has ended for good."""
-        self._schedule.done("leases", now + LEASE_LIST_SECONDS)
+        self.schedule.done("leases", now + LEASE_LIST_SECONDS)
         if self._live - live.keys():
             # A deputy may not know yet of what the lapsed lease covered.
-            self._schedule.by("read", now)
+            self.schedule.by("read", now)
         self._live = set(live)
         self._fleet.gone.leased({each.process for each in live.values()})
         for state in self.shards:
@@ -122,7 +122,7 @@
     ) -> list[actions.Action]:
         """Takes all claims in the store."""
         jitter = self._rng.uniform(0.9, 1)
-        self._schedule.done("read", now + jitter * READ_ALL_SECONDS)
+        self.schedule.done("read", now + jitter * READ_ALL_SECONDS)
         result = []
         for state in self.shards:
             claim, version = found.get(state.number, (None, 0))
@@ -138,26 +138,26 @@
     def conflicted(self, now: float, number: int) -> None:
         """Takes the refusal of a `WriteClaim`; a read shows who won."""
         self.shards[number].retry(now + BACKOFF_SECONDS[0])
-        self._schedule.by("read", now)
+        self.schedule.by("read", now)
 
     def write_failed(self, now: float, number: int) -> None:
         """Notes that a `WriteClaim` has no answer: it may take effect yet."""
-        retry_at = self._schedule.failed(now, "write")
+        retry_at = self.schedule.failed(now, "write")
         self.shards[number].retry(retry_at)
-        self._schedule.by("read", retry_at)
+        self.schedule.by("read", retry_at)
 
     def asked(self, now: float, ask: Ask) -> bool:
         """Answers an owner; True is a promise not to claim for 5 s."""
         state = self.shards[ask.shard]
         if ask.version > state.version:
-            self._schedule.by("read", now)
+            self.schedule.by("read", now)
         return state.promise(now, ask, self.me)
 
     def suspect(self, now: float, instance: str) -> None:
         """Takes that a call to an instance failed; its deputies probe it."""
         self._fleet.suspected[instance] = now + decisions.SUSPECT_SECONDS
         if all(self.owner(state.number) != instance for state in self.shards):
-            self._schedule.by("read", now)
+            self.schedule.by("read", now)
 
     def proved_gone(self, member: claims.Member) -> None:
         """Takes the proof that a process has ended."""
@@ -290,9 +290,9 @@
         result = self.lease.next(now)
         if self.lease.id is None:
             return result
-        if self._schedule.begin(now, "read"):
+        if self.schedule.begin(now, "read"):
             result.append(actions.ReadClaims())
-        if self._schedule.begin(now, "leases"):
+        if self.schedule.begin(now, "leases"):
             result.append(actions.ReadLeases())
         return result
 
@@ -382,9 +382,9 @@
                 ask = state.ask(self.me)
                 assert state.claim is not None and state.claim.deputy
                 asks.setdefault(state.claim.deputy, []).append(ask)
-        if not asks or not self._schedule.begin(now, "ask"):
+        if not asks or not self.schedule.begin(now, "ask"):
             return []
-        self._schedule.done("ask", now + ASK_SECONDS)
+        self.schedule.done("ask", now + ASK_SECONDS)
         return [
             actions.AskDeputy(deputy, tuple(each))
             for deputy, each in asks.items()
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -1,5 +1,6 @@
 """Executes the decisions of `ownership` over the store and peer calls."""
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -17,6 +18,8 @@
 STORE_SECONDS = 1.0
 DEPUTY_SECONDS = 1.0
 HANDOVER_SECONDS = 3.0
+# Shortest time between reads of all claims that unknown owners cause.
+REREAD_SECONDS = 1.0
 # State of a shard travels in pieces, so that no frame grows with it.
 PIECE_BYTES = 128 * 1024
 CONFIRM = "owner.confirm"
@@ -77,6 +80,7 @@
         self._pieces: dict[tuple[int, int], dict[int, str]] = {}
         self._arrived: dict[int, Any] = {}
         self._handing: set[int] = set()
+        self._read_at = -math.inf
         self._stopped: defer.Deferred[None] | None = None
         peers.register(CONFIRM, self._serve_confirm)
         peers.register(HANDOVER, self._serve_handover)
@@ -103,6 +107,10 @@
         owner = self.core.owner(shard)
         if owner == self.core.me.id:
             owner = None
+        if owner is None:
+            # The claim may be newer than the last read of all claims.
+            due = max(self._timer.seconds(), self._read_at + REREAD_SECONDS)
+            self.core.schedule.by("read", due)
         return calls.pack({"owner": owner})
 
     def _directory_changed(self) -> None:
@@ -191,6 +199,7 @@
 
     @defer.inlineCallbacks
     def _read_claims(self):
+        self._read_at = self._timer.seconds()
         try:
             found = yield self._bounded(self._store.list(claims.OWNER_PREFIX))
         except (errors.CicadafrontError, defer.TimeoutError):
