Aim the random faults at owners and their records

Change: a rule that loses an owner after a begin, perhaps cut off from the store; `heal` restarts what has stopped; a ninth directed fault for begins kept in memory without the deputy's knowledge.

--- a/tests/limits/test_faults.py
+++ b/tests/limits/test_faults.py
@@ -142,6 +142,19 @@
     scene.watched.advance(6)
 
 
+def crash_early_in_outage(scene: Scene) -> None:
+    """An owner loses the store and crashes before its deputy knows."""
+    pair = (scene.owner.process.info.id, scene.deputy.process.info.id)
+    scene.cut_from_store(scene.owner)
+    scene.fleet.world.blocked.add(pair)
+    scene.watched.begin(scene.others[0], "amani", "k")
+    scene.watched.advance(2.4)
+    scene.owner.process.crash()
+    scene.watched.advance(9)
+    scene.watched.begin(scene.others[1], "amani", "k")
+    scene.watched.advance(4)
+
+
 def planned_stop(scene: Scene) -> None:
     """A shard moves while its requests run and its credit is out."""
     for _ in range(6):
@@ -205,6 +218,11 @@
         crash_after_outage,
         (shard.Shard, "clean_for_deputy", _always),
     ),
+    (
+        "memory only without the deputy",
+        crash_early_in_outage,
+        (ownership.Ownership, "memory_only", _always),
+    ),
     (
         "owner acts after its hand-over",
         planned_stop,
--- a/tests/limits/test_machine.py
+++ b/tests/limits/test_machine.py
@@ -148,9 +148,38 @@
 
     @stateful.rule()
     def heal(self):
+        """Ends all faults, so that later ones meet a working fleet."""
         self.fleet.heal()
         self.fleet.store.up = True
-        self.fleet.world.loss = 0.0
+        self.network(0.0, 0.0, (0.0005, 0.002))
+        for id, node in list(self.fleet.nodes.items()):
+            node.process.resume()
+            if not node.process.running or node.limits.ownership.core.stopping:
+                self.fleet.restart(id)
+        self.watched.advance(6)
+
+    @stateful.rule(
+        cut=st.booleans(),
+        account=NAMES,
+        key=st.sampled_from("stu"),
+        silent=st.booleans(),
+    )
+    def lose_owner(self, cut, account, key, silent):
+        """An owner is lost after a begin, perhaps cut off from the store."""
+        self.heal()
+        owner = self.place(f"owner{shards.shard_of(account)}")
+        if cut:
+            self.cut_from_store(f"owner{shards.shard_of(account)}", True)
+            self.watched.advance(9)
+        for node in self.fleet.nodes.values():
+            self.watched.begin(node, account, key)
+        self.spread(account)
+        self.fleet.nodes[owner].process.crash(silent)
+        self.spread(account)
+        self.watched.advance(9)
+        for node in self.fleet.nodes.values():
+            self.watched.begin(node, account, key)
+        self.spread(account)
 
     @stateful.rule(up=st.booleans())
     def store(self, up):
