--- a/tests/limits/test_faults.py
+++ b/tests/limits/test_faults.py
@@ -142,6 +142,19 @@
     scene.watched.advance(6)
 
 
+def crash_early_in_outage(scene: Scene) -> None:
+    """An owner loses the store and crashes before its deputy knows."""
+    pair = (scene.owner.process.info.id, scene.deputy.process.info.id)
+    scene.cut_from_store(scene.owner)
+    scene.fleet.world.blocked.add(pair)
+    scene.watched.begin(scene.others[0], "amani", "k")
+    scene.watched.advance(2.4)
+    scene.owner.process.crash()
+    scene.watched.advance(9)
+    scene.watched.begin(scene.others[1], "amani", "k")
+    scene.watched.advance(4)
+
+
 def planned_stop(scene: Scene) -> None:
     """A shard moves while its requests run and its credit is out."""
     for _ in range(6):
@@ -205,6 +218,11 @@
         crash_after_outage,
         (shard.Shard, "clean_for_deputy", _always),
     ),
+    (
+        "memory only without the deputy",
+        crash_early_in_outage,
+        (ownership.Ownership, "memory_only", _always),
+    ),
     (
         "owner acts after its hand-over",
         planned_stop,
@@ -243,6 +261,26 @@
             scene.watched.advance(bound)
             self.assertTrue(scene.deputy.acts(0))
 
+    def test_refused_call_starts_the_takeover(self):
+        """The directory takes 1.5 s to notice; a refused call is faster."""
+        with mock.patch.object(shards, "SHARDS", 1):
+            scene = Scene(11)
+            scene.owner.process.crash()
+            for node in scene.others:
+                scene.watched.admit(node, "amani")
+            scene.watched.advance(1.0)
+            self.assertTrue(scene.deputy.acts(0))
+
+    def test_suspicion_of_a_live_owner_changes_nothing(self):
+        with mock.patch.object(shards, "SHARDS", 1):
+            scene = Scene(12)
+            owner = scene.owner.process.info.id
+            for _ in range(20):
+                core = scene.deputy.limits.ownership.core
+                core.suspect(scene.deputy.process.seconds(), owner)
+                scene.watched.advance(0.25)
+            self.assertEqual(scene.fleet.acting(0), [owner])
+
     def test_pair_cut_off_is_not_replaced(self):
         """A timeout is no proof that owner and deputy have ended."""
         with mock.patch.object(shards, "SHARDS", 1):
