Give light accounts credit in the fair queue

Cause: beside an account at five times its rate (113% load), the others' worst p99 was about twice the quiet one. A request was charged its own time when it ended, so that one long request delayed the account's next one, and a burst of a light account waited behind the backlog of the loud one. Change: requests are charged the account's moving mean, and an account may use up to 0.1 s of unused slot time late.

--- a/src/cicadafront/routing/fairqueue.py
+++ b/src/cicadafront/routing/fairqueue.py
@@ -1,8 +1,9 @@
 """Queue in front of the slots of one target, fair between client accounts.
 
 Start-time fair queueing by the slot time that requests take: an account whose
-requests run long gets fewer of them. The time of a request is charged as the
-account's mean when it is queued and corrected when it ends.
+requests run long gets fewer of them. A request is charged the account's moving
+mean. Charging its own time once it has ended made the next request of a light
+account wait for as long as the previous one happened to run.
 """
 
 import collections
@@ -19,7 +20,11 @@
 STANDING_SECONDS = 0.5
 # Charged until the first request has ended.
 FIRST_COST_SECONDS = 0.05
+_MIN_COST_SECONDS = 1e-4
 _COST_SHARE = 0.1
+# Slot time that an account may use late: what it left unused lets its next
+# burst pass the backlog of others. It bounds what a burst can take from them.
+CREDIT_SECONDS = 0.1
 
 
 @attrs.define(eq=False)
@@ -39,7 +44,6 @@
     weight: float = 1.0
     queued: float = 0.0
     started: float | None = None
-    charged: float = attrs.field(default=0.0, repr=False)
 
 
 @attrs.define
@@ -89,7 +93,7 @@
             self._late(entry)
             return
         account = self._accounts.setdefault(
-            entry.account, _Account(self._cost, self._virtual)
+            entry.account, _Account(self._cost, self._virtual - CREDIT_SECONDS)
         )
         if len(account.waiting) >= self._max_per_account:
             self._full(entry)
@@ -107,9 +111,9 @@
         account.running -= 1
         self.in_use -= 1
         spent = now - (now if entry.started is None else entry.started)
+        spent = max(_MIN_COST_SECONDS, spent)
         account.cost += _COST_SHARE * (spent - account.cost)
         self._cost += _COST_SHARE * (spent - self._cost)
-        account.finish_tag += (spent - entry.charged) / entry.weight
         self._fill(now)
         self._tidy()
 
@@ -139,10 +143,7 @@
         while self.in_use < self.slots and self.queued:
             account = min(
                 (a for a in self._accounts.values() if a.waiting),
-                key=lambda a: (
-                    max(self._virtual, a.finish_tag),
-                    a.waiting[0].queued,
-                ),
+                key=lambda a: (self._tag(a), a.waiting[0].queued),
             )
             self._shed(account, now)
             if not account.waiting:
@@ -155,16 +156,18 @@
             self._run(account, entry, now)
 
     def _run(self, account: _Account, entry: Entry, now: float) -> None:
-        # The start tag of an account that was idle is the present time.
-        tag = max(self._virtual, account.finish_tag)
-        self._virtual = tag
-        entry.charged = account.cost
-        account.finish_tag = tag + entry.charged / entry.weight
+        tag = self._tag(account)
+        self._virtual = max(self._virtual, tag)
+        account.finish_tag = tag + account.cost / entry.weight
         account.running += 1
         self.in_use += 1
         entry.started = now
         self._start(entry)
 
+    def _tag(self, account: _Account) -> float:
+        """Start tag of the account's next request."""
+        return max(self._virtual - CREDIT_SECONDS, account.finish_tag)
+
     def _judge_delay(self, account: _Account, now: float) -> None:
         """Notes whether the delay of an account stays above its target.
 
@@ -241,7 +244,7 @@
             for name, account in self._accounts.items()
             if not account.waiting
             and not account.running
-            and account.finish_tag <= self._virtual
+            and account.finish_tag <= self._virtual - CREDIT_SECONDS
         ]
         for name in gone:
             del self._accounts[name]
--- a/tests/routing/test_fairqueue.py
+++ b/tests/routing/test_fairqueue.py
@@ -109,6 +109,16 @@
         ran = sum(entry.account == "long" for entry in target.started)
         self.assertAlmostEqual(5.0, len(target.started) / ran - 1, delta=1.0)
 
+    def test_burst_of_a_light_account_passes_a_backlog(self):
+        target = _Target()
+        target.load("noisy", 600.0, 20.0, random.Random(1))
+        target.clock.run(5.0)
+        burst = [target.submit("quiet") for _ in range(3)]
+        target.clock.run(6.0)
+        # Each waits for the end of at most one running request.
+        for entry in burst:
+            self.assertLessEqual(entry.started - entry.queued, 0.0201)
+
     def test_backlog_of_one_account_sheds_none_of_another(self):
         target = _Target()
         rng = random.Random(1)
