Report to entries only the waiting requests within their fair share

Cause: beside the backlog of a loud account all targets look equally full, so that power of two choices spreads the other accounts at random; their worst p99 in kaburi stayed above 1.5 times the quiet one. Change: FairQueue.pressing() counts the waiting requests within the fair share of their accounts; agents report it as `Load.queued`.

--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -23,8 +23,7 @@
         self._start = start
         self._give_up = give_up
 
-    @property
-    def queued(self) -> int:
+    def pressing(self) -> int:
         return len(self.waiting)
 
     def submit(self, entry, now: float) -> None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -102,7 +102,7 @@
 
     def load(self) -> exchange.Load:
         """Returns the load that responses carry."""
-        return exchange.Load(self.queue.in_use, self.queue.queued)
+        return exchange.Load(self.queue.in_use, self.queue.pressing())
 
     def open(self, request: Request, reply: Callable) -> None:
         """Takes a request; the reply gets whether it succeeded."""
--- a/src/cicadafront/routing/fairqueue.py
+++ b/src/cicadafront/routing/fairqueue.py
@@ -86,6 +86,22 @@
         # Mean over all accounts, for one that was idle and is forgotten.
         self._cost = FIRST_COST_SECONDS
 
+    def pressing(self) -> int:
+        """Returns how many waiting requests are within their fair share.
+
+        Entries choose targets by this count. The whole backlog of an account
+        that exceeds its share says little about the delay of others, and hides
+        the differences between targets from them.
+        """
+        return sum(
+            min(
+                len(account.waiting),
+                1 + int((self._virtual - self._tag(account)) / account.cost),
+            )
+            for account in self._accounts.values()
+            if account.waiting and self._tag(account) <= self._virtual
+        )
+
     def submit(self, entry: Entry, now: float) -> None:
         """Starts or queues a request, or gives it up at once."""
         entry.queued = now
--- a/tests/routing/test_fairqueue.py
+++ b/tests/routing/test_fairqueue.py
@@ -119,6 +119,16 @@
         for entry in burst:
             self.assertLessEqual(entry.started - entry.queued, 0.0201)
 
+    def test_backlog_over_the_fair_share_does_not_press(self):
+        target = _Target(slots=1, seconds=10.0)
+        for account in "abc":
+            target.submit(account)
+        self.assertEqual(2, target.queue.pressing())
+        for _ in range(20):
+            target.submit("a")
+        self.assertEqual(22, target.queue.queued)
+        self.assertLess(target.queue.pressing(), 8)
+
     def test_backlog_of_one_account_sheds_none_of_another(self):
         target = _Target()
         rng = random.Random(1)
