Find slow targets with fewer answers

Cause: a target that slows down is chosen less often by load, so that the seven slow answers needed for an alarm took long. Change: a healthy target is assumed to exceed the slow limit in 5% instead of 10% of its answers (2% with lognormal latencies of sigma 0.5), so that five slow answers raise the alarm; the comparison with the others is unchanged.

--- a/src/cicadafront/health/detector.py
+++ b/src/cicadafront/health/detector.py
@@ -132,7 +132,7 @@
         self._sums = {
             Signal.FAULTS: evidence.Cusum(0.02, 0.3),
             Signal.ERRORS: evidence.Cusum(0.02, 0.3),
-            Signal.SLOW: evidence.Cusum(0.1, 0.6),
+            Signal.SLOW: evidence.Cusum(0.05, 0.6),
         }
         self._alarms = {}
         self._running.clear()
