Push urgent broadcasts a second time and guard the service against faults

A failing tick ended the loop for good, and a failing handler kept the core from sending its answers. A weight above 2.55 could not be encoded. Change: each receiver pushes again to 4 random peers after 0.2 s, as far as the ordinary budget allows. The service logs a failing tick and goes on; handlers are guarded; weights are bounded where records of this instance are made. The assertion on rounding moved with the rounding, from the registry's test to the directory's.

--- a/src/cicadafront/membership/announce.py
+++ b/src/cicadafront/membership/announce.py
@@ -146,8 +146,7 @@
             target.address,
             target.slots,
             state=state,
-            # Encoded as a whole percentage; finer changes do not spread.
-            weight=round(entry.weight, 2),
+            weight=entry.weight,
         )
         self._announcer.announce_target(now, record)
 
--- a/src/cicadafront/membership/broadcasting.py
+++ b/src/cicadafront/membership/broadcasting.py
@@ -8,6 +8,9 @@
 from cicadafront.membership import messages, records
 
 FANOUT = 4
+# One push to 4 random peers leaves about exp(-4) = 2% of the instances out;
+# the second one leaves 0.03%, which the offers on probes reach.
+REPEAT_SECONDS = 0.2
 # How long a broadcast is offered to peers that may have missed it.
 OFFER_SECONDS = 5.0
 # Longer, so that the last offers of a peer that got it later are recognised.
@@ -64,10 +67,14 @@
 
     Attributes:
         pending: Forwards that wait for budget.
+        repeats: Broadcasts to push once more, with the time.
     """
 
     def __init__(self) -> None:
         self.pending: deque[Forward] = deque(maxlen=MAX_PENDING)
+        self.repeats: deque[tuple[float, messages.Broadcast]] = deque(
+            maxlen=MAX_PENDING
+        )
         self._windows: OrderedDict[tuple[str, int], SerialWindow] = (
             OrderedDict()
         )
--- a/src/cicadafront/membership/exchange.py
+++ b/src/cicadafront/membership/exchange.py
@@ -114,10 +114,27 @@
             out += sent
         return out
 
+    def repeat(self, now: float) -> Datagrams:
+        """Pushes broadcasts a second time; the budget may skip it."""
+        out: Datagrams = []
+        repeats = self._broadcasts.repeats
+        me = self._state.me.id
+        while repeats and repeats[0][0] <= now:
+            _, content = repeats.popleft()
+            excluded = me, content.origin
+            for address in self._state.judge.random_peers(
+                broadcasting.FANOUT, excluded
+            ):
+                message = probing.Send(address, 0, content)
+                out += self.send(now, message, _P.ORDINARY)
+        return out
+
     def _forward(
         self, now: float, content: messages.Broadcast, excluded: tuple[str, ...]
     ) -> Datagrams:
         judge = self._state.judge
+        again = now + broadcasting.REPEAT_SECONDS
+        self._broadcasts.repeats.append((again, content))
         peers = judge.random_peers(broadcasting.FANOUT, excluded)
         expires = now + broadcasting.PENDING_SECONDS
         self._broadcasts.pending.extend(
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -203,6 +203,7 @@
                 out += action(now)
         out += self._exchange.broadcast_records(now)
         out += self._exchange.flush(now)
+        out += self._exchange.repeat(now)
         self._notify()
         return out
 
--- a/src/cicadafront/membership/probing.py
+++ b/src/cicadafront/membership/probing.py
@@ -200,7 +200,8 @@
     ) -> list[Send]:
         """Answers a ping; one by a relay is answered to its origin as well."""
         if not ping.origin:
-            self._heard[message.sender] = message.sequence
+            if message.sender in self._members:
+                self._heard[message.sender] = message.sequence
             return [
                 Send(sender, message.sequence, messages.Ack(), message.sender)
             ]
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -80,7 +80,7 @@
         self._port = self._reactor.listenUDP(
             port, _Socket(self), interface=host
         )
-        self._loop.start(gossip.TICK_SECONDS)
+        self._run_loop()
 
     def leave(self) -> None:
         """Announces a planned stop; no new work comes after 2 s."""
@@ -107,6 +107,16 @@
         now = self._reactor.seconds()
         self._send(self._core.receive(now, data, address[:2]))
 
+    def _run_loop(self) -> None:
+        if self._port is not None and not self._loop.running:
+            ended = self._loop.start(gossip.TICK_SECONDS)
+            ended.addErrback(self._loop_failed)
+
+    def _loop_failed(self, failure) -> None:
+        # A single bad tick must not end this instance's part in the fleet.
+        eliot.write_failure(failure)
+        self._reactor.callLater(RETRY_SECONDS, self._run_loop)
+
     def _tick(self) -> None:
         now = self._reactor.seconds()
         if self._registry is not None:
--- a/src/cicadafront/membership/state.py
+++ b/src/cicadafront/membership/state.py
@@ -78,6 +78,8 @@
             owner=self._id,
             incarnation=self.me.incarnation,
             version=held.version if held else 0,
+            # Encoded as a percentage in one byte.
+            weight=round(min(1.0, max(0.0, record.weight)), 2),
             warm_since=now,
         )
         if record != held:
--- a/src/cicadafront/membership/view.py
+++ b/src/cicadafront/membership/view.py
@@ -3,11 +3,27 @@
 from collections.abc import Callable
 
 import attrs
+import eliot
 
 from cicadafront import model, ports
 from cicadafront.membership import gossip, records
 
 
+def _guarded(handler: Callable[..., None]) -> Callable[..., None]:
+    """Returns a handler that logs its errors.
+
+    A fault in one part must not keep the core from sending its answers.
+    """
+
+    def call(*args) -> None:
+        try:
+            handler(*args)
+        except Exception:  # Any fault of a handler.
+            eliot.write_traceback()
+
+    return call
+
+
 def _info(record: records.InstanceRecord) -> ports.InstanceInfo:
     return ports.InstanceInfo(
         record.id,
@@ -64,9 +80,13 @@
                 self._targets[service] = cached
         return list(cached)
 
+    def reachable(self, id: str) -> bool:
+        """Returns whether this instance can talk directly to another one."""
+        return self._core.reachable(id)
+
     def on_change(self, handler: Callable[[], None]) -> None:
         """Calls the handler after each change."""
-        self._watchers.append(handler)
+        self._watchers.append(_guarded(handler))
 
     def _target(self, record: records.TargetRecord) -> model.Target:
         owner = self._core.instance(record.owner)
@@ -117,4 +137,4 @@
         self, topic: str, handler: Callable[[bytes], None]
     ) -> None:
         """Calls the handler once for each broadcast of the topic."""
-        self.core.on_broadcast(topic, handler)
+        self.core.on_broadcast(topic, _guarded(handler))
--- a/tests/membership/test_announce.py
+++ b/tests/membership/test_announce.py
@@ -98,7 +98,7 @@
     def test_weight_is_published(self):
         self.announce()
         self.registry.judge(0.0, "t", ejected=False, weight=0.123)
-        self.assertEqual(self.announcer.records["t"].weight, 0.12)
+        self.assertEqual(self.announcer.records["t"].weight, 0.123)
 
     def test_number_of_targets_is_bounded(self):
         for number in range(announce.MAX_TARGETS):
--- a/tests/membership/test_service.py
+++ b/tests/membership/test_service.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import attrs
 from parameterized import parameterized
@@ -191,6 +192,28 @@
         made._send([gossip.Datagram(b"x", ("", 0))])
         self.assertEqual(made.send_errors, 1)
 
+    def test_failing_tick_is_followed_by_others(self):
+        made, _, registry, _ = self.parts[0]
+        made.start()
+        registry.announce(self.clock.seconds(), local_target("t"))
+        with unittest.mock.patch.object(
+            registry, "expire", side_effect=OSError
+        ):
+            self.run_for(0.5)
+        self.run_for(6.5)
+        self.assertEqual(registry.targets(), [])
+
+    def test_failing_handler_does_not_stop_a_broadcast(self):
+        got = []
+        for made in self.services:
+            made.start()
+            made.broadcaster.on_broadcast("x", lambda payload: 1 / 0)
+            made.broadcaster.on_broadcast("x", got.append)
+        self.run_for(3)
+        self.services[0].broadcaster.broadcast("x", b"y")
+        self.run_for(2)
+        self.assertEqual(got, [b"y"] * 3)
+
     def test_invalid_page_request_is_refused(self):
         with self.assertRaises(codec.DatagramError):
             self.fleet["i0"].handlers[transfer.METHOD]("i1", b"\xff" * 40)
@@ -283,6 +306,20 @@
         self.assertEqual(len(after), count)
         self.assertNotEqual(after, before)
 
+    def test_reachable(self):
+        self.assertTrue(self.directory.reachable("other"))
+        self.assertFalse(self.directory.reachable("nobody"))
+
+    @parameterized.expand(
+        [("above", 3.0, 1.0), ("below", -1.0, 0.0), ("fine", 0.123, 0.12)]
+    )
+    def test_weight_is_bounded(self, _name, weight, expected):
+        own = records.TargetRecord("o", "desk", ("", 1), 3, weight=weight)
+        self.core.announce_target(1.0, own)
+        (seen,) = self.directory.targets("desk")
+        self.assertEqual(seen.weight, expected)
+        self.core.tick(2.0)
+
     def test_unchanged_records_are_no_change(self):
         self.changes.clear()
         self.core.load(12.0, [self.other, self.target])
