Spread suspicions and refutations as short claims

Cause: each suspicion and refutation was broadcast urgently as a full record. With many failures at once this used up the byte budget: acknowledgements came late and healthy instances looked dead. Change: a change of version or judgement only travels as a claim of 8 bytes (hash of the content, version) on probes. Suspicions are no longer broadcast; refutations are, while at most 3 instances are suspect. A suspect has 1.5 s plus 0.25 s per doubling of the fleet, and 2.5 times that with more suspects.

--- a/src/cicadafront/membership/codec.py
+++ b/src/cicadafront/membership/codec.py
@@ -16,6 +16,7 @@
 # more words than this was not written by an instance.
 _TRAVERSAL_WORDS = 1 << 17
 _MAX_SERVING_SECONDS = 255
+_SUSPECT_BIT = 1 << 31
 # What pycapnp and the conversions raise on bytes of another origin.
 _INVALID = (
     capnp.KjException,
@@ -43,6 +44,22 @@
     return struct.unpack(f"<{len(data) // 4}I", data)
 
 
+def _pack_claims(claims: Iterable[tuple[int, int, bool]]) -> bytes:
+    return _pack(
+        number
+        for content, version, suspect in claims
+        for number in (content, version | _SUSPECT_BIT * suspect)
+    )
+
+
+def _unpack_claims(data) -> tuple[tuple[int, int, bool], ...]:
+    values = _unpack(data)
+    return tuple(
+        (content, version & ~_SUSPECT_BIT, bool(version & _SUSPECT_BIT))
+        for content, version in zip(values[::2], values[1::2], strict=True)
+    )
+
+
 def _instance_fields(record: records.InstanceRecord) -> dict[str, object]:
     peer_host, peer_port = record.peer_address
     gossip_host, gossip_port = record.gossip_address
@@ -181,6 +198,8 @@
     _fill_members(builder, now, message.carried)
     if message.recent:
         builder.recent = _pack(message.recent)
+    if message.claims:
+        builder.claims = _pack_claims(message.claims)
     return builder.to_bytes_packed()
 
 
@@ -308,6 +327,7 @@
             _decode_body(message),
             _decode_members(message.members, now),
             _unpack(message.recent),
+            _unpack_claims(message.claims),
         )
     except _INVALID as error:
         raise DatagramError(
--- a/src/cicadafront/membership/dissemination.py
+++ b/src/cicadafront/membership/dissemination.py
@@ -7,6 +7,11 @@
 # Push to random peers leaves about exp(-6) = 0.25% of the instances without a
 # record; the comparison of digests repairs those.
 MAX_SENDS = 6
+# A claim on the version of an instance record, in the packed encoding. After a
+# partition, half of the fleet is judged anew; full records would take minutes.
+CLAIM_BYTES = 10
+# After a partition, half of the datagrams that carry claims are lost.
+MAX_CLAIM_SENDS = 12
 # Measured sizes in the packed encoding, rounded up: a record without its
 # texts, and the owner's id and incarnation that are sent once per owner.
 RECORD_OVERHEAD_BYTES = 52
@@ -25,10 +30,13 @@
 class DisseminationQueue:
     """Least sent records first, among these the most recent first."""
 
-    def __init__(self) -> None:
-        self._levels: list[dict[table.Key, None]] = [
-            {} for _ in range(MAX_SENDS)
-        ]
+    def __init__(
+        self,
+        size: Callable[[records.Record], int] = estimated_size,
+        sends: int = MAX_SENDS,
+    ) -> None:
+        self._size = size
+        self._levels: list[dict[table.Key, None]] = [{} for _ in range(sends)]
 
     def __len__(self) -> int:
         return sum(len(level) for level in self._levels)
@@ -55,7 +63,7 @@
         for number, level in enumerate(self._levels):
             for key in reversed(level):
                 record = find(key)
-                size = estimated_size(record) if record else 0
+                size = self._size(record) if record else 0
                 if size > room:
                     break
                 room -= size
@@ -72,5 +80,5 @@
     ) -> None:
         for number, key in reversed(sent):
             del self._levels[number][key]
-            if number + 1 < MAX_SENDS and find(key) is not None:
+            if number + 1 < len(self._levels) and find(key) is not None:
                 self._levels[number + 1][key] = None
--- a/src/cicadafront/membership/exchange.py
+++ b/src/cicadafront/membership/exchange.py
@@ -151,6 +151,7 @@
         update = isinstance(message.body, messages.Update)
         own = self._state.me
         newer = self._state.merge(now, message.carried, spread=not update)
+        self._state.merge_claims(now, message.claims)
         refuted = own is not self._state.me
         carried: list[records.Record] = [self._state.me] if refuted else []
         out = self._meet(now, message, sender)
--- a/src/cicadafront/membership/gossip.capnp
+++ b/src/cicadafront/membership/gossip.capnp
@@ -113,6 +113,9 @@
     fetch @13 :Fetch;
     update @14 :Void;
   }
+  # Pairs of content hash and version (the highest bit: suspect), four bytes
+  # each: an instance record that the receiver holds with another version.
+  claims @15 :Data;
 }
 
 # Body of the peer call `membership.state`.
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -66,6 +66,7 @@
         out = outbox.Outbox(
             self._known,
             self._state.queue,
+            self._state.claims,
             broadcasts,
             self._budget,
             self.counters,
--- a/src/cicadafront/membership/messages.py
+++ b/src/cicadafront/membership/messages.py
@@ -108,6 +108,8 @@
         body: What the datagram is for.
         carried: Records that travel with it.
         recent: Short ids of broadcasts that the sender saw lately.
+        claims: Versions of instance records of known content: the content
+            hash, the version, and whether the instance is a suspect.
     """
 
     sender: str
@@ -116,3 +118,4 @@
     body: Body
     carried: Sequence[records.Record] = ()
     recent: tuple[int, ...] = ()
+    claims: tuple[tuple[int, int, bool], ...] = ()
--- a/src/cicadafront/membership/outbox.py
+++ b/src/cicadafront/membership/outbox.py
@@ -19,6 +19,7 @@
 MAX_DATAGRAM_BYTES = 1370
 # Envelope without its texts and offers, rounded up.
 _ENVELOPE_BYTES = 48
+_MAX_CLAIMS_BYTES = 600
 
 
 @attrs.frozen
@@ -53,12 +54,14 @@
         self,
         known: table.Table,
         queue: dissemination.DisseminationQueue,
+        claims: dissemination.DisseminationQueue,
         broadcasts: broadcasting.Broadcasts,
         limit: budget.ByteBudget,
         counters: Counters,
     ):
         self._known = known
         self._queue = queue
+        self._claims_queue = claims
         self._broadcasts = broadcasts
         self._budget = limit
         self._counters = counters
@@ -76,9 +79,12 @@
             self._counters.held_back += 1
             return []
         recent: tuple[int, ...] = ()
+        claims: tuple[tuple[int, int, bool], ...] = ()
         if isinstance(message.body, messages.Ping | messages.Ack):
             recent = self._broadcasts.recent(now)
-            carried = [*carried, *self._pick(now, me, carried, recent)]
+            claims = self._claims(now)
+            used = 5 * len(recent) + dissemination.CLAIM_BYTES * len(claims)
+            carried = [*carried, *self._pick(now, me, carried, used)]
         content = messages.Message(
             me.id,
             me.incarnation,
@@ -86,6 +92,7 @@
             message.body,
             carried,
             recent,
+            claims,
         )
         data = codec.encode(content, now)
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -96,14 +103,25 @@
         self._counters.sent_bytes += len(data) + budget.HEADER_BYTES
         return [Datagram(data, message.address)]
 
+    def _claims(self, now: float) -> tuple[tuple[int, int, bool], ...]:
+        # Claims are short and must pass while broadcasts use the reserve.
+        allowed = self._budget.room(now, budget.Priority.PROBE)
+        room = min(_MAX_CLAIMS_BYTES, int(allowed))
+        return tuple(
+            (record.content(), record.version, suspect)
+            for record in self._claims_queue.pick(room, self._known.record)
+            if isinstance(record, records.InstanceRecord)
+            for suspect in [record.liveness is not records.Liveness.ALIVE]
+        )
+
     def _pick(
         self,
         now: float,
         me: records.InstanceRecord,
         carried: Sequence[records.Record],
-        recent: tuple[int, ...],
+        used: int,
     ) -> list[records.Record]:
-        used = _ENVELOPE_BYTES + len(me.id) + 5 * len(recent)
+        used += _ENVELOPE_BYTES + len(me.id)
         used += sum(map(dissemination.estimated_size, carried))
         allowed = self._budget.room(now, budget.Priority.ORDINARY)
         room = min(MAX_DATAGRAM_BYTES - used, int(allowed))
--- a/src/cicadafront/membership/records.py
+++ b/src/cicadafront/membership/records.py
@@ -73,6 +73,18 @@
         """Whether it stopped as planned, so that it need not be probed."""
         return self.leaving and self.liveness is Liveness.DEAD
 
+    def content(self) -> int:
+        """Hash of all but the version and the judgement of others."""
+        fields = (
+            self.id,
+            self.incarnation,
+            self.data_centre,
+            self.peer_address,
+            self.gossip_address,
+            self.leaving,
+        )
+        return zlib.crc32(repr(fields).encode())
+
     def order(self) -> tuple[int, int, int]:
         """Sort key; the record with the higher key replaces the other."""
         return self.incarnation, self.version, self.liveness
--- a/src/cicadafront/membership/state.py
+++ b/src/cicadafront/membership/state.py
@@ -22,6 +22,7 @@
     Attributes:
         known: Table of all records.
         queue: Records that are to travel with probes.
+        claims: Instance records of which only the version is to travel.
         judge: This instance's judgement of the others.
         urgent: Keys of records that wait for an urgent broadcast.
         changed: Whether the table changed since the flag was cleared.
@@ -34,6 +35,10 @@
     ):
         self.known = table.Table()
         self.queue = dissemination.DisseminationQueue()
+        self.claims = dissemination.DisseminationQueue(
+            lambda record: dissemination.CLAIM_BYTES,
+            dissemination.MAX_CLAIM_SENDS,
+        )
         self.judge = judgement.Judge(self.known, me.id, rng, now)
         self.urgent: dict[table.Key, None] = {}
         self.changed = False
@@ -88,9 +93,9 @@
 
     def judged(self, now: float, record: records.InstanceRecord) -> None:
         """Stores a verdict of this instance on another one."""
-        self._store(now, record, spread=True)
-        if record.liveness is records.Liveness.SUSPECT:
-            self.urgent[table.key_of(record)] = None
+        # Others come to the verdict "dead" themselves.
+        suspect = record.liveness is records.Liveness.SUSPECT
+        self._store(now, record, spread=suspect)
 
     def merge(
         self, now: float, items: Iterable[records.Record], spread: bool
@@ -113,6 +118,19 @@
                     newer.append(held)
         return newer
 
+    def merge_claims(
+        self, now: float, claims: Iterable[tuple[int, int, bool]]
+    ) -> None:
+        """Merges versions of records whose content is known."""
+        for content, version, suspect in claims:
+            held = self.known.by_content(content)
+            if held is None:
+                # The comparison of digests brings the record.
+                continue
+            liveness = records.Liveness(suspect)
+            record = attrs.evolve(held, version=version, liveness=liveness)
+            self._merge(now, record, spread=True)
+
     def _merge(
         self, now: float, record: records.Record, spread: bool
     ) -> table.Merge:
@@ -138,7 +156,7 @@
             # A suspect has little time; a dead instance is already replaced
             # everywhere, and many may refute at once after a partition.
             suspect = record.liveness is records.Liveness.SUSPECT
-            self.restate(now, urgent=suspect)
+            self.restate(now, urgent=suspect and self.judge.calm)
         else:
             gone = attrs.evolve(record, gone=True)
             self._store_own(now, self.own_targets.get(record.id, gone), False)
@@ -156,11 +174,23 @@
     def _store(
         self, now: float, record: records.Record, spread: bool
     ) -> table.Merge:
+        key = table.key_of(record)
+        held = self.known.record(key)
         result = self.known.merge(record, now)
         if result is table.Merge.NEWER:
-            key = table.key_of(record)
             self.changed = True
             self.judge.changed(key[0])
             if spread:
-                self.queue.add(key)
+                known = _same_content(held, record)
+                (self.claims if known else self.queue).add(key)
         return result
+
+
+def _same_content(held: records.Record | None, record: records.Record) -> bool:
+    """Returns whether others can derive the record from the held one."""
+    return (
+        isinstance(record, records.InstanceRecord)
+        and isinstance(held, records.InstanceRecord)
+        and not record.departed
+        and held.content() == record.content()
+    )
--- a/src/cicadafront/membership/suspicion.py
+++ b/src/cicadafront/membership/suspicion.py
@@ -1,8 +1,16 @@
 """Time that a suspect has to refute, and the clock that measures it."""
 
-# The suspicion and the refutation each spread by urgent broadcast within a
-# few 100 ms; the rest covers lost datagrams.
-SUSPICION_SECONDS = 2.5
+import math
+
+# A suspicion travels with probes, so that the number of instances that know
+# it doubles about every 0.25 s; the suspect must learn it and refute it.
+SUSPICION_SECONDS = 1.5
+DOUBLING_SECONDS = 0.25
+# With more suspects than this, a partition or the loss of a rack is likely.
+# Refutations are then not broadcast, which would use up the byte budget, and
+# take longer.
+CALM_SUSPECTS = 3
+BUSY_FACTOR = 2.5
 # Largest step of the clock; ticks are 0.1 s apart.
 MAX_STEP_SECONDS = 0.25
 # Silence of all others after which this instance doubts itself. In a running
@@ -49,22 +57,32 @@
 
 
 class Suspicions:
-    """Deadlines of suspects, on the awake clock."""
+    """Since when instances are suspect, on the awake clock."""
 
     def __init__(self) -> None:
-        self._deadlines: dict[str, float] = {}
+        self._since: dict[str, float] = {}
+
+    @property
+    def calm(self) -> bool:
+        """Whether only few are suspect."""
+        return len(self._since) <= CALM_SUSPECTS
 
     def start(self, clock: float, id: str) -> None:
         """Starts the time of a suspect, unless it is running."""
-        self._deadlines.setdefault(id, clock + SUSPICION_SECONDS)
+        self._since.setdefault(id, clock)
 
     def cancel(self, id: str) -> None:
         """Ends the suspicion of an instance."""
-        self._deadlines.pop(id, None)
-
-    def expired(self, clock: float) -> list[str]:
-        """Returns and forgets suspects whose time has passed."""
-        ids = [id for id, end in self._deadlines.items() if end <= clock]
-        for id in ids:
-            del self._deadlines[id]
-        return ids
+        self._since.pop(id, None)
+
+    def timeout(self, peers: int) -> float:
+        """Returns the seconds that a suspect has in a fleet of this size."""
+        spread = DOUBLING_SECONDS * math.log2(max(2, peers))
+        return (SUSPICION_SECONDS + spread) * (1 if self.calm else BUSY_FACTOR)
+
+    def expired(self, clock: float, peers: int) -> list[str]:
+        """Returns suspects whose time has passed."""
+        if not self._since:
+            return []
+        start = clock - self.timeout(peers)
+        return [id for id, since in self._since.items() if since <= start]
--- a/src/cicadafront/membership/table.py
+++ b/src/cicadafront/membership/table.py
@@ -86,6 +86,7 @@
         self.touched: set[str] = set()
         self._services: dict[str, dict[Key, records.TargetRecord]] = {}
         self._by_hash: dict[int, str] = {}
+        self._by_content: dict[int, str] = {}
 
     def record(self, key: Key) -> records.Record | None:
         """Returns the record of a key."""
@@ -103,6 +104,13 @@
         """Returns the member whose id has this hash."""
         return self.members.get(self._by_hash.get(hash, ""))
 
+    def by_content(self, content: int) -> records.InstanceRecord | None:
+        """Returns the instance record with this content hash."""
+        member = self.members.get(self._by_content.get(content, ""))
+        if member is None or member.record.content() != content:
+            return None
+        return member.record
+
     def bucket_members(self, bucket: int) -> Iterator[Member]:
         """Iterates over the members of a bucket that are not dead."""
         for hash, id in self._by_hash.items():
@@ -146,8 +154,10 @@
                 self._clear_targets(member)
             if member.record.version:
                 member.digest ^= member.record.digest()
+                self._by_content.pop(member.record.content(), None)
             member.record, member.changed = record, now
         member.digest ^= record.digest()
+        self._by_content[record.content()] = record.id
         self._count(member, remove=False)
         self._touch(member)
         return Merge.NEWER
@@ -218,6 +228,7 @@
     def _remove(self, member: Member) -> None:
         self._count(member, remove=True)
         self._clear_targets(member)
+        self._by_content.pop(member.record.content(), None)
         self.dead.discard(member.record.id)
         del self.members[member.record.id]
         self._by_hash.pop(records.id_hash(member.record.id), None)
