--- a/src/cicadafront/membership/exchange.py
+++ b/src/cicadafront/membership/exchange.py
@@ -114,10 +114,27 @@
             out += sent
         return out
 
+    def repeat(self, now: float) -> Datagrams:
+        """Pushes broadcasts a second time; the budget may skip it."""
+        out: Datagrams = []
+        repeats = self._broadcasts.repeats
+        me = self._state.me.id
+        while repeats and repeats[0][0] <= now:
+            _, content = repeats.popleft()
+            excluded = me, content.origin
+            for address in self._state.judge.random_peers(
+                broadcasting.FANOUT, excluded
+            ):
+                message = probing.Send(address, 0, content)
+                out += self.send(now, message, _P.ORDINARY)
+        return out
+
     def _forward(
         self, now: float, content: messages.Broadcast, excluded: tuple[str, ...]
     ) -> Datagrams:
         judge = self._state.judge
+        again = now + broadcasting.REPEAT_SECONDS
+        self._broadcasts.repeats.append((again, content))
         peers = judge.random_peers(broadcasting.FANOUT, excluded)
         expires = now + broadcasting.PENDING_SECONDS
         self._broadcasts.pending.extend(
@@ -134,6 +151,7 @@
         update = isinstance(message.body, messages.Update)
         own = self._state.me
         newer = self._state.merge(now, message.carried, spread=not update)
+        self._state.merge_claims(now, message.claims)
         refuted = own is not self._state.me
         carried: list[records.Record] = [self._state.me] if refuted else []
         out = self._meet(now, message, sender)
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -66,6 +66,7 @@
         out = outbox.Outbox(
             self._known,
             self._state.queue,
+            self._state.claims,
             broadcasts,
             self._budget,
             self.counters,
@@ -203,6 +204,7 @@
                 out += action(now)
         out += self._exchange.broadcast_records(now)
         out += self._exchange.flush(now)
+        out += self._exchange.repeat(now)
         self._notify()
         return out
 
