Give up the requests that an ejected target stalls

Cause: the health service got the placeholder of the agent's abandon function, so two of 1,018 requests waited for their 3 s limit although their target had been ejected after 1.1 s. Change: the assembly looks the function up when it is called.

--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -199,7 +199,7 @@
             configuration=configuration,
             crashed=self.crashes,
             probe=self._probe,
-            abandon=self.abandon,
+            abandon=self._abandon,
         )
         self.permits = permit_owner.PermitOwner(
             self.limits.ownership,
@@ -224,6 +224,9 @@
     def _must_run_alone(self, entry: queue.Entry) -> bool:
         return self.crashes.must_run_alone(entry.account, entry.fingerprint)
 
+    def _abandon(self, target: str) -> None:
+        self.abandon(target)
+
     def _usable(self, now: float, instance: str) -> bool:
         return not self.is_down(instance) and self.gossip.reachable(instance)
 
