--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -56,6 +56,7 @@
         """Returns a target that takes work, or raises a `RequestError`."""
 
 
+_NO_HEAD = model.ResponseHead(0, ())
 _EXCHANGE_IDS = itertools.count(random.SystemRandom().getrandbits(62))
 
 
@@ -89,6 +90,8 @@
         self._token: object = None
         self._started = 0.0
         self._headed = False
+        self._head = _NO_HEAD
+        self._held: list[bytes] = []
         self._answered = observer.Completed(0, 0.0)
         exchange_id = b"%016x" % next(_EXCHANGE_IDS)
         self._check = verify.AnswerCheck(exchange_id, request.head.method)
@@ -179,7 +182,7 @@
             return
         self._connection = connection
         self._state = _State.RUNNING
-        connection.send_head(self._head(self._agent.clock.seconds()))
+        connection.send_head(self._request_head())
         pending, self._pending = self._pending, []
         for data in pending:
             connection.send_body(data)
@@ -195,9 +198,10 @@
                 self._started, self._request.target, self._request
             )
 
-    def _head(self, now: float) -> model.RequestHead:
+    def _request_head(self) -> model.RequestHead:
         head = self._request.head
-        remaining = max(0, int((self._deadline - now) * 1000))
+        remaining = self._deadline - self._agent.clock.seconds()
+        millis = max(0, int(remaining * 1000))
         kept = [
             (name, value)
             for name, value in head.headers
@@ -205,7 +209,7 @@
         ]
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
-        kept.append((DEADLINE_HEADER, b"%d" % remaining))
+        kept.append((DEADLINE_HEADER, b"%d" % millis))
         kept.append((verify.EXCHANGE_ID_HEADER, self._check.exchange_id))
         if self._request.account:
             kept.append((ACCOUNT_HEADER, self._request.account.encode()))
@@ -219,18 +223,26 @@
         if checked is None:
             self.broken("crossed")
             return
-        self._headed = True
         self._judge()
         now = self._agent.clock.seconds()
-        # The caller paces the rest of the answer, so its time is not judged.
         self._answered = observer.Completed(head.status, now - self._started)
+        self._head = checked
+        if not self._check.held:
+            self._pass_head(now)
+
+    def _pass_head(self, now: float) -> None:
+        self._headed = True
+        # The caller paces the rest of the answer, so its time is not judged.
         self._agent.watcher.answered(now, self._token)
-        self._response.head(checked, self._load())
+        self._response.head(self._head, self._load())
 
     def answer_body(self, data: bytes) -> None:
         """Passes on a piece of the answer."""
         self._check.body(data)
-        self._response.body(data)
+        if self._headed:
+            self._response.body(data)
+        else:
+            self._held.append(data)
 
     def answer_end(self, reusable: bool, mangled: bool) -> None:
         """Passes on the end of the answer and frees the slot."""
@@ -239,6 +251,9 @@
         if not self._check.intact():
             self.broken("mangled")
             return
+        if not self._headed:
+            self._pass_head(self._agent.clock.seconds())
+            self._response.body(b"".join(self._held))
         found, self._connection = self._connection, None
         outcome: observer.Outcome = self._answered
         if mangled:
--- a/src/cicadafront/agent/verify.py
+++ b/src/cicadafront/agent/verify.py
@@ -13,6 +13,9 @@
 
 EXCHANGE_ID_HEADER = b"X-Exchange-Id"
 _EXCHANGE_ID = EXCHANGE_ID_HEADER.lower()
+# Answers up to this size are passed on once they are complete and intact, so
+# that the entry can still try another target.
+HELD_BYTES = 64 * 1024
 _SHA256 = re.compile(rb"(?:^|[,\s])sha-256=:([A-Za-z0-9+/=]+):")
 # Answers without a body, whatever their fields say.
 _BODILESS = frozenset({204, 304})
@@ -23,10 +26,12 @@
 
     Attributes:
         exchange_id: Value sent with the request.
+        held: Whether the answer is small enough to be held until its end.
     """
 
     def __init__(self, exchange_id: bytes, method: str):
         self.exchange_id = exchange_id
+        self.held = False
         self._method = method
         self._expected: bytes | None = None
         self._hash = hashlib.sha256()
@@ -38,6 +43,8 @@
             return None
         if self._method != "HEAD" and head.status not in _BODILESS:
             self._expected = _digest(head.headers)
+            length = headers.value_of(head.headers, b"content-length")
+            self.held = length.isdigit() and 0 < int(length) <= HELD_BYTES
         if not copied:
             return head
         kept = tuple(
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -143,6 +143,26 @@
         site.lose()
         self.assertEqual(response.events, [200, b"all", "end"])
 
+    @parameterized.expand(
+        [
+            ("small", 1000, []),
+            ("too large to hold", 100_000, [200, b"part"]),
+        ]
+    )
+    def test_small_answer_is_held_until_it_is_whole(
+        self, _name, length, passed
+    ):
+        site = Site()
+        sink, response = site.open()
+        sink.end()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+        site.receive(head + b"part")
+        self.assertEqual(response.events, passed)
+        site.lose()
+        site.clock.advance(suspects.CRASH_HOLD_SECONDS)
+        failed = ("target_failed", "unknown")
+        self.assertEqual(response.events, [*passed, failed])
+
     @parameterized.expand(
         [
             ("right digest", b"ok", "end"),
