Record a span per hop and pass its context on

Cause: the tracer existed, but no part of the request path used it, and the caller's `traceparent` went to the target unchanged, even if broken.

Change: the entry, each attempt on a link, the wait and the run at the agent, and the exchange with the target each record a span. Each hop passes its own context on; a broken or repeated `traceparent` starts a new trace and removes its `tracestate`. Traces that the caller marks as not sampled are passed on but not kept. The wire test of the agent now also demands a valid `traceparent` and that the caller's value is gone.

Conclusion: `GET /v1/traces/<id>` of the instances shows all hops; tests.daemon.test_path proves it over real processes.

--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -5,6 +5,7 @@
 from cicadafront import errors, model
 from cicadafront.agent import idle, observer, queue, run, targets
 from cicadafront.peer import exchange
+from cicadafront.telemetry import metrics, tracing
 
 
 def no_new_work(target: str) -> errors.RequestError:
@@ -29,12 +30,16 @@
         watcher: observer.Observer,
         connector: targets.Connector,
         clock: Any,
+        values: metrics.Metrics | None = None,
+        tracer: tracing.Tracer | None = None,
     ):
         self._local = local
         self.slots = slots
         self.watcher = watcher
         self.connector = connector
         self.clock = clock
+        self.metrics = values or metrics.Metrics()
+        self.tracer = tracer or tracing.Tracer("", clock.seconds)
         self.idle = idle.IdleConnections(clock, watcher)
         self.accepting = True
         self.running: set[run.Run] = set()
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -11,11 +11,13 @@
     idle,
     observer,
     queue,
+    run_trace,
     targets,
     verify,
 )
 from cicadafront.health import suspects
 from cicadafront.peer import exchange
+from cicadafront.telemetry import metrics, tracing
 
 DEADLINE_HEADER = b"X-Deadline-Ms"
 ACCOUNT_HEADER = b"X-Client-Account"
@@ -25,6 +27,7 @@
         DEADLINE_HEADER.lower(),
         ACCOUNT_HEADER.lower(),
         verify.EXCHANGE_ID_HEADER.lower(),
+        tracing.TRACEPARENT,
     }
 )
 # A caller learns of a possible crash after the other instances do, so that it
@@ -50,6 +53,8 @@
     clock: Any
     idle: idle.IdleConnections
     accepting: bool
+    tracer: tracing.Tracer
+    metrics: metrics.Metrics
     running: "set[Run]"
 
     def place(self, id: str) -> targets.LocalTarget:
@@ -82,6 +87,7 @@
         self._state = _State.QUEUED
         self._deadline = now + request.timeout
         self._entry: queue.Entry | None = None
+        self._trace = run_trace.RunTrace(owner.tracer, owner.metrics, request)
         self._timer: Any = None
         self._connection: connection.TargetConnection | None = None
         self._pending: list[bytes] = []
@@ -155,6 +161,7 @@
             self.refuse(error)
             return
         self._state = _State.CONNECTING
+        self._trace.granted()
         if self._request.repeatable:
             # A reused connection that turns out stale cannot tell whether
             # the request ran, so only repeatable requests take that risk.
@@ -206,6 +213,8 @@
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
         kept.append((DEADLINE_HEADER, b"%d" % remaining))
+        trace = self._trace.handed_over()
+        kept.append((b"Traceparent", trace.encode()))
         kept.append((verify.EXCHANGE_ID_HEADER, self._check.exchange_id))
         if self._request.account:
             kept.append((ACCOUNT_HEADER, self._request.account.encode()))
@@ -220,6 +229,7 @@
             self.broken("crossed")
             return
         self._headed = True
+        self._trace.headed(head.status)
         self._judge()
         now = self._agent.clock.seconds()
         # The caller paces the rest of the answer, so its time is not judged.
@@ -248,7 +258,7 @@
             self._agent.idle.put(found, limit)
         elif reusable and found is not None:
             found.abort()
-        self._close(outcome)
+        self._close(outcome, run_trace.OK)
         self._response.end()
 
     def broken(self, kind: str) -> None:
@@ -259,7 +269,8 @@
         if self._state is not _State.RUNNING:
             executed = errors.Executed.NO
         self._judge()
-        self._close(observer.Failed(kind))
+        self._trace.broken(kind)
+        self._close(observer.Failed(kind), errors.TargetFailedError.code)
         error = errors.TargetFailedError(
             f"Target {self._request.target} {_REASONS[kind]}.",
             executed=executed,
@@ -302,7 +313,8 @@
         executed = errors.Executed.NO
         if handed_over:
             executed = errors.Executed.UNKNOWN
-        self._close(observer.Stalled(seconds))
+        code = errors.DeadlineExceededError.code
+        self._close(observer.Stalled(seconds), code)
         self._response.fail(
             errors.DeadlineExceededError(
                 "The time limit of the route has passed.", executed=executed
@@ -316,7 +328,7 @@
     def refuse(self, error: errors.RequestError) -> None:
         """Ends an exchange that was not handed over."""
         if self._state is not _State.DONE:
-            self._close(observer.Cancelled())
+            self._close(observer.Cancelled(), error.code)
             self._response.fail(error, self._load())
 
     def _judged(self, outcome: observer.Outcome) -> None:
@@ -326,10 +338,13 @@
             now = self._agent.clock.seconds()
             self._agent.watcher.finished(now, token, outcome)
 
-    def _close(self, outcome: observer.Outcome) -> None:
+    def _close(
+        self, outcome: observer.Outcome, code: str = run_trace.CANCELLED
+    ) -> None:
         if self._state is _State.DONE:
             return
         self._state = _State.DONE
+        self._trace.finish(code)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         if self._connection is not None:
--- /dev/null
+++ b/src/cicadafront/agent/run_trace.py
@@ -0,0 +1,81 @@
+"""Spans and metrics of one request at the agent."""
+
+from cicadafront.peer import exchange
+from cicadafront.telemetry import metrics, tracing
+
+OK = "ok"
+CANCELLED = "cancelled"
+
+
+class RunTrace:
+    """Reports the wait in the queue, the run and the target's part."""
+
+    def __init__(
+        self,
+        tracer: tracing.Tracer,
+        values: metrics.Metrics,
+        request: exchange.OpenRequest,
+    ):
+        self._tracer = tracer
+        self._metrics = values
+        self._service = request.service
+        self._target = request.target
+        self._above = tracing.parse_traceparent(request.traceparent) or ""
+        self._open = [self._start("queue", self._above)]
+        self._began = tracer.clock()
+        self._status = 0
+
+    def _start(
+        self, name: str, parent: str | tracing.SpanContext
+    ) -> tracing.Span:
+        return self._tracer.start(name, parent, target=self._target)
+
+    def granted(self) -> None:
+        """Ends the wait: the request has a slot."""
+        queue = self._open.pop()
+        self._tracer.finish(queue)
+        # A request without a trace gets one here, for all its spans.
+        self._above = self._above or queue.context
+        self._open.append(self._start("run", self._above))
+        self._metrics.observe(
+            "agent_queue_wait", queue.seconds or 0.0, service=self._service
+        )
+
+    def handed_over(self) -> str:
+        """Returns the `traceparent` of the exchange with the target."""
+        span = self._start("target", self._open[0].context)
+        self._open.append(span)
+        return span.context.traceparent()
+
+    def headed(self, status: int) -> None:
+        """Notes the head of the target's answer."""
+        self._status = status
+        self._metrics.observe(
+            "agent_first_byte",
+            self._tracer.clock() - self._began,
+            service=self._service,
+        )
+
+    def finish(self, code: str) -> None:
+        """Ends the open spans; `code` is `ok`, `cancelled` or an error."""
+        fields: dict[str, object] = {}
+        if self._status:
+            fields["status"] = self._status
+        if code == CANCELLED:
+            fields["cancelled"] = True
+        elif code != OK:
+            fields["code"] = code
+        while self._open:
+            self._tracer.finish(self._open.pop(), **fields)
+        self._metrics.count("agent_requests", service=self._service, code=code)
+        self._metrics.observe(
+            "agent_total",
+            self._tracer.clock() - self._began,
+            service=self._service,
+        )
+
+    def broken(self, kind: str) -> None:
+        """Counts a failure of the target by its kind."""
+        self._metrics.count(
+            "agent_target_failures", service=self._service, kind=kind
+        )
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -279,6 +279,8 @@
             suspects=self.crashes,
             budget=retry_budgets.RetryBudgets(),
             picker=self.picker,
+            metrics=self.metrics,
+            tracer=self.tracer,
             configuration=self.configuration,
             admission=self.limits.admission,
             records=self.limits.outcomes,
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -15,6 +15,8 @@
 from cicadafront.daemon import local, options, supervisor
 from cicadafront.edge import forward, parts, policies, server
 from cicadafront.peer import codec, exchange, link, pool
+from cicadafront.telemetry import metrics as metrics_module
+from cicadafront.telemetry import tracing
 
 IDLE_CHECK_SECONDS = 5.0
 # Interval at which a planned stop looks whether all work has ended.
@@ -41,6 +43,8 @@
         suspects: Refuses requests that crash targets.
         budget: Bounds retries.
         picker: Chooses targets; the least loaded of two without one.
+        metrics: Metrics of this instance.
+        tracer: Spans of this instance; a new one without it.
         announce_leaving: Tells the fleet about a planned stop.
         hand_over: Hands over what this instance owns, once its exchanges
             have ended and while its links are still open.
@@ -60,6 +64,10 @@
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
     budget: policies.RetryBudget = attrs.field(factory=policies.ShareBudget)
     picker: policies.Picker | None = None
+    metrics: metrics_module.Metrics = attrs.field(
+        factory=metrics_module.Metrics
+    )
+    tracer: tracing.Tracer | None = None
     announce_leaving: Callable[[], None] = lambda: None
     hand_over: Callable[[], "defer.Deferred[None]"] = lambda: defer.succeed(
         None
@@ -115,12 +123,16 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._build_peer()
         self._fleet = fleet = build_fleet(self.calls)
+        if fleet.tracer is None:
+            fleet.tracer = tracing.Tracer(settings.instance, reactor.seconds)
         self.agent = agent.Agent(
             fleet.beside,
             fleet.slots,
             fleet.watcher,
             targets.TcpConnector(reactor),
             reactor,
+            fleet.metrics,
+            fleet.tracer,
         )
         self._build_edge()
         self._build_tree()
@@ -158,6 +170,8 @@
             suspects=fleet.suspects,
             confirmed=fleet.confirmed,
             counts=self.counts,
+            metrics=fleet.metrics,
+            tracer=self.agent.tracer,
         )
         self._forwarder = forward.Forwarder(site)
         self._edge = server.Site(self._forwarder, self._reactor, self.counts)
--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -1,10 +1,11 @@
 """One attempt to run a request at a target."""
 
-import collections
 from typing import Protocol
 
 from cicadafront import errors, model
+from cicadafront.edge import parts
 from cicadafront.peer import exchange
+from cicadafront.telemetry import tracing
 
 
 class Parent(Protocol):
@@ -38,6 +39,7 @@
 
     Attributes:
         target: The chosen target.
+        span: Span of the attempt.
         request: Takes the request body once the stream is open.
         done: Whether the attempt has ended.
     """
@@ -46,13 +48,15 @@
         self,
         parent: Parent,
         target: model.Target,
-        counts: collections.Counter[str],
+        site: parts.Parts,
+        span: tracing.Span,
     ):
         self.target = target
+        self.span = span
         self.request: exchange.RequestSink | None = None
         self.done = False
         self._parent = parent
-        self._counts = counts
+        self._site = site
         self._taken = 0
         self._headed = False
 
@@ -60,6 +64,7 @@
         """Gives the attempt up."""
         if not self.done:
             self.done = True
+            self._site.tracer.finish(self.span, cancelled=True)
             if self.request is not None:
                 self.request.cancel()
 
@@ -68,6 +73,7 @@
         if self._stale(twice=self._headed):
             return
         self._headed = True
+        self.span.fields["status"] = head.status
         self._parent.attempt_head(self, head, load)
 
     def body(self, data: bytes) -> None:
@@ -79,12 +85,16 @@
         """Takes the end of the answer."""
         if not self._stale():
             self.done = True
+            self._site.tracer.finish(self.span)
             self._parent.attempt_end()
 
     def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
         """Takes the failure of the attempt."""
         if not self._stale():
             self.done = True
+            self._site.tracer.finish(
+                self.span, code=error.code, executed=error.executed.value
+            )
             self._parent.attempt_failed(self, error, load)
 
     def consumed(self, count: int) -> None:
@@ -96,5 +106,5 @@
     def _stale(self, twice: bool = False) -> bool:
         stale = self.done or twice
         if stale:
-            self._counts["answers_dropped"] += 1
+            self._site.counts["answers_dropped"] += 1
         return stale
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -2,9 +2,10 @@
 
 from typing import Protocol
 
-from cicadafront import errors, headers, model
+from cicadafront import errors, model
 from cicadafront.edge import attempt, held, order, parts, policies
 from cicadafront.peer import exchange
+from cicadafront.telemetry import tracing
 
 MAX_ATTEMPTS = 4
 
@@ -50,6 +51,7 @@
         deadline: float,
         fingerprint: bytes,
         parent: Parent,
+        context: tracing.SpanContext,
     ):
         self.maybe_ran = False
         self._site = site
@@ -59,6 +61,7 @@
         self._deadline = deadline
         self._fingerprint = fingerprint
         self._parent = parent
+        self._context = context
         self._current: attempt.Attempt | None = None
         self._count = 0
         self._excluded: set[str] = set()
@@ -118,9 +121,17 @@
             return
         self._count += 1
         self._excluded.add(target.id)
-        opened = attempt.Attempt(self, target, self._site.counts)
+        span = self._site.tracer.start(
+            "link",
+            self._context,
+            target=target.id,
+            agent=target.instance,
+            via=via,
+            attempt=self._count,
+        )
+        opened = attempt.Attempt(self, target, self._site, span)
         self._current = opened
-        request = self._request(target, via)
+        request = self._request(target, via, span.context)
         sink = self._site.open_at(via or target.instance, request, opened)
         opened.request = sink
         if opened.done:
@@ -158,9 +169,10 @@
                 return target, via
         return None, ""
 
-    def _request(self, target: model.Target, via: str) -> exchange.OpenRequest:
+    def _request(
+        self, target: model.Target, via: str, context: tracing.SpanContext
+    ) -> exchange.OpenRequest:
         wanted = self._order
-        trace = headers.value_of(wanted.head.headers, b"traceparent")
         remaining = self._deadline - self._site.clock.seconds()
         return exchange.OpenRequest(
             head=wanted.head,
@@ -169,7 +181,7 @@
             target=target.id,
             timeout=max(0.0, remaining),
             repeatable=wanted.route.repeatable,
-            traceparent=trace.decode("latin-1"),
+            traceparent=context.traceparent(),
             attempt=self._count,
             weight=wanted.account.weight if wanted.account else 1.0,
             fingerprint=self._fingerprint,
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -9,7 +9,14 @@
 from twisted.python import failure
 
 from cicadafront import errors, model, ports
-from cicadafront.edge import attempts, caller, held, order, parts
+from cicadafront.edge import (
+    attempts,
+    caller,
+    held,
+    order,
+    parts,
+    request_trace,
+)
 from cicadafront.peer import exchange
 
 # Time that the agent's own answer to a passed deadline may take. The agent
@@ -50,6 +57,7 @@
     """One request, from its head to the end of its answer."""
 
     _order: order.Order
+    _trace: request_trace.RequestTrace
 
     def __init__(
         self,
@@ -73,11 +81,14 @@
 
     def start(self, head: model.RequestHead, token: str) -> None:
         """Resolves route and account and asks for admission."""
+        self._trace = trace = request_trace.RequestTrace(self._site, head)
+        head = trace.request_head(head)
         try:
             self._order = order.resolve(self._site, head, token)
         except errors.RequestError as error:
             self._conclude(error)
             return
+        trace.routed(self._order)
         timeout = self._order.route.timeout
         self._deadline = self._site.clock.seconds() + timeout
         self._timer = self._site.clock.callLater(timeout, self._expire)
@@ -106,7 +117,13 @@
             account, wanted.head, start[: held.FINGERPRINT_BYTES]
         )
         self._attempts = attempts.Attempts(
-            self._site, wanted, self._body, self._deadline, fingerprint, self
+            self._site,
+            wanted,
+            self._body,
+            self._deadline,
+            fingerprint,
+            self,
+            self._trace.context,
         )
         try:
             self._site.suspects.check(account, fingerprint)
@@ -143,9 +160,11 @@
         if outcome.body is None:
             self._conclude(_not_kept(outcome))
             return
+        self._trace.headed(outcome.head.status)
         self._caller.head(outcome.head, exchange.Load())
         if outcome.body:
             self._caller.body(outcome.body)
+        self._trace.ended()
         self._finish()
         self._caller.end()
 
@@ -166,6 +185,7 @@
         """Passes on the head of the answer."""
         if self._ticket is not None:
             self._copy = held.AnswerCopy(head)
+        self._trace.headed(head.status)
         self._caller.head(head, load)
 
     def answer_body(self, data: bytes) -> None:
@@ -180,6 +200,7 @@
         if self._ticket is not None and self._copy is not None:
             self._site.records.finish(self._ticket, self._copy.outcome())
             self._ticket = None
+        self._trace.ended()
         self._finish()
         self._caller.end()
 
@@ -253,6 +274,7 @@
         executed = self._settle(error.executed)
         if executed is not error.executed:
             error = _with_executed(error, executed)
+        self._trace.failed(error)
         self._finish()
         self._caller.fail(error, exchange.Load())
 
@@ -277,6 +299,7 @@
         self._phase = _Phase.DONE
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._trace.finish()
         self._on_done(self)
 
 
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -10,6 +10,8 @@
 from cicadafront.config import model as config_model
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
+from cicadafront.telemetry import metrics as metrics_module
+from cicadafront.telemetry import tracing
 
 
 @attrs.define
@@ -29,6 +31,8 @@
         relay: Returns a third instance on the way to an instance, or None.
         clock: Source of time and timers.
         counts: Counts retries and dropped answers.
+        metrics: Metrics of this instance.
+        tracer: Spans of this instance.
     """
 
     configuration: Callable[[], config_model.Configuration | None]
@@ -43,3 +47,12 @@
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
     confirmed: Callable[[], bool] = lambda: True
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    metrics: metrics_module.Metrics = attrs.field(
+        factory=metrics_module.Metrics
+    )
+    tracer: tracing.Tracer = attrs.field(
+        default=attrs.Factory(
+            lambda self: tracing.Tracer("", self.clock.seconds),
+            takes_self=True,
+        )
+    )
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -22,14 +22,20 @@
         site = Site()
         sink, response = site.open(
             method="POST",
-            fields=((b"Content-Length", b"3"), (b"x-deadline-ms", b"9")),
+            fields=(
+                (b"Content-Length", b"3"),
+                (b"x-deadline-ms", b"9"),
+                (b"traceparent", b"x"),
+            ),
         )
         sink.body(b"abc")
         sink.end()
         self.assertRegex(
             site.transport.value(),
             rb"\APOST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
-            rb"X-Deadline-Ms: 5000\r\nX-Exchange-Id: [0-9a-f]{16}\r\n"
+            rb"X-Deadline-Ms: 5000\r\n"
+            rb"Traceparent: 00-[0-9a-f]{32}-[0-9a-f]{16}-01\r\n"
+            rb"X-Exchange-Id: [0-9a-f]{16}\r\n"
             rb"\r\nabc\Z",
         )
         site.receive(b"HTTP/1.1 100 Continue\r\n\r\n" + OK)
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -1,11 +1,17 @@
 """The whole path over real sockets, with daemons in their own processes."""
 
+import functools
 import http.client
 import json
 import unittest
 
-from tests.support import fleet
+from parameterized import parameterized
 
+from cicadafront.telemetry import tracing
+from tests.support import fleet, traces
+
+TRACE = "0af7651916cd43dd8448eb211c80319c"
+SPAN = "b7ad6b7169203331"
 BODY_MB = 200
 MEMORY_LIMIT_MB = 128
 PIECE = b"cicadafront-data" * 4096
@@ -89,3 +95,45 @@
             got += len(piece)
         self.assertEqual(got, BODY_MB << 20)
         self._check_memory()
+
+    @parameterized.expand(
+        [
+            ("continued", f"00-{TRACE}-{SPAN}-01", True, True),
+            ("not sampled", f"00-{TRACE}-{SPAN}-00", True, False),
+            ("broken", f"00-{TRACE}-{'0' * 16}-01", False, True),
+            ("absent", "", False, True),
+        ]
+    )
+    def test_hops_join_into_one_trace(self, _name, given, joins, kept):
+        # Guards against hops that start traces of their own.
+        caller = self._start(fleet.echo)
+        headers = {"tracestate": "v=1"}
+        if given:
+            headers["traceparent"] = given
+        caller.request("GET", "/a", headers=headers)
+        fields = json.loads(caller.getresponse().read())["fields"]
+        context = tracing.parse_traceparent(fields["traceparent"])
+        self.assertEqual(context.trace_id == TRACE, joins)
+        self.assertEqual("tracestate" in fields, joins)
+        self.assertEqual(context.sampled, kept)
+        spans = []
+        for daemon, names in (
+            (self.entry, {"entry", "link"}),
+            (self.agent, {"queue", "run", "target"}),
+        ):
+            names = names if kept else set()
+            read = functools.partial(daemon.spans, context.trace_id)
+            found = traces.wait_for(read, names)
+            self.assertEqual({span["name"] for span in found}, names)
+            spans += found
+        if kept:
+            found = traces.by_name(spans)
+            top = SPAN if joins else ""
+            chain = ("entry", "link", "run", "target")
+            self.assertTrue(traces.is_chain(found, chain, top))
+            self.assertTrue(
+                traces.is_chain(found, ("entry", "link", "queue"), top)
+            )
+            self.assertEqual(found["target"]["span_id"], context.span_id)
+            self.assertEqual(found["link"]["target"], "t")
+            self.assertEqual(found["run"]["status"], 200)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -45,6 +45,7 @@
         ports = json.loads(line)
         self.edge = ports["edge"]
         self.peer = ports["peer"]
+        self.operators = ports["operators"]
 
     def _read_log(self) -> None:
         for line in self.process.stderr:
@@ -58,6 +59,19 @@
     def counts(self) -> dict[str, int]:
         return self.command(do="counts")["counts"]
 
+    def read(self, path: str) -> bytes:
+        """Returns what the operators' address serves at a path."""
+        connection = http.client.HTTPConnection(
+            HOST, self.operators, timeout=CALL_SECONDS
+        )
+        with contextlib.closing(connection):
+            connection.request("GET", path)
+            return connection.getresponse().read()
+
+    def spans(self, trace: str) -> list[dict[str, Any]]:
+        """Returns the spans of a trace."""
+        return json.loads(self.read(f"/v1/traces/{trace}"))["items"]
+
     def peak_mb(self) -> float:
         status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
         line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -2,7 +2,8 @@
 
 The options come as JSON on the command line. Each line on standard input is a
 JSON command: `configure` sets the fleet, `leave` marks a target as leaving,
-`counts` does nothing. The answer to each holds the counters.
+`counts` does nothing. The answer to each holds the counters. The operators'
+endpoints serve the metrics and traces.
 """
 
 import json
@@ -13,11 +14,13 @@
 import eliot
 from twisted.internet import reactor, stdio
 from twisted.protocols import basic
+from twisted.web import server
 
 from cicadafront import model, ports
-from cicadafront.agent import targets
+from cicadafront.agent import agent, targets
 from cicadafront.config import model as config_model
 from cicadafront.daemon import local, main, options, root
+from cicadafront.telemetry import operators
 
 HOST = "127.0.0.1"
 
@@ -36,7 +39,11 @@
 
     def connectionMade(self) -> None:  # noqa: N802
         """Prints the ports once the listeners are open."""
-        ready = {"edge": self.daemon.edge_port, "peer": self.daemon.peer_port}
+        ready = {
+            "edge": self.daemon.edge_port,
+            "peer": self.daemon.peer_port,
+            "operators": _serve_operators(self.daemon.agent),
+        }
         print(json.dumps(ready), flush=True)
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
@@ -78,6 +85,17 @@
         )
 
 
+def _serve_operators(served: agent.Agent) -> int:
+    views = operators.Views(
+        ready=str, status=dict, instances=list, targets=list, accounts=list
+    )
+    endpoints = operators.OperatorEndpoints(
+        views, served.metrics, served.tracer
+    )
+    site = server.Site(endpoints.resource())
+    return reactor.listenTCP(0, site, interface=HOST).getHost().port
+
+
 def run() -> int:
     """Runs the daemon until it is told to stop."""
     given = json.loads(sys.argv[1])
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -54,6 +54,44 @@
         self.assertEqual(spans[1].parent, spans[0].context.span_id)
         self.assertEqual([s.seconds for s in spans], [6.0, 3.0])
 
+    @parameterized.expand(
+        [
+            ("usual", {"status": 200}, 0.1, False),
+            ("failed", {"code": "target_failed"}, 0.1, True),
+            ("server error", {"status": 503}, 0.1, True),
+            ("slow", {"status": 200}, tracing.SLOW_SECONDS, True),
+        ]
+    )
+    def test_notable_traces_are_kept_longest(self, _name, fields, took, kept):
+        # Guards against usual traffic that displaces the traces of faults,
+        # and against memory that grows with the traffic.
+        now = [0.0]
+        tracer = tracing.Tracer(
+            "dar-a-1",
+            clock=lambda: now[0],
+            id_source=random.Random(1),
+            limit=10,
+        )
+        first = tracer.start("entry")
+        below = tracer.start("link", first.context)
+        tracer.finish(below)
+        now[0] = took
+        tracer.finish(first, **fields)
+        for _ in range(100):
+            tracer.finish(tracer.start("entry"))
+        found = tracer.trace(first.context.trace_id)
+        self.assertEqual(len(found), 2 if kept else 0)
+        held = [*tracer.usual.values(), *tracer.notable.values()]
+        self.assertLessEqual(sum(map(len, held)), 10)
+
+    def test_one_trace_is_bounded(self):
+        # Guards against a caller that reuses one trace id for ever.
+        tracer = tracing.Tracer("dar-a-1", clock=lambda: 0.0)
+        for _ in range(2 * tracing.MAX_SPANS_PER_TRACE):
+            tracer.finish(tracer.start("entry", f"00-{TRACE}-{SPAN}-01"))
+        kept = tracer.trace(TRACE)
+        self.assertEqual(len(kept), tracing.MAX_SPANS_PER_TRACE)
+
 
 class MetricsTest(unittest.TestCase):
     """Guards against metrics that scrapers cannot read or that grow."""
