Count requests, queues, links and refusals at entry and agent

Cause: the metrics existed, but no part fed them, and the counters that parts keep were not served.

Change: the entry counts requests by service and code and measures the time to the first byte and in total; the agent does the same and measures the wait in the queue and failures of targets by kind (crossed, mangled). The counters of the daemon, gossip bytes, store calls, record answers, credit, links, slots in use and ejected targets are read when the metrics are served. No label holds an account or a path, and a counter has at most 8,192 series. `/v1/accounts` shows what this instance admitted and refused of each configured account.

Conclusion: tests.daemon.test_path and tests.daemon.test_operators read the metrics from real processes.

--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -252,6 +252,7 @@
         found, self._connection = self._connection, None
         outcome: observer.Outcome = self._answered
         if mangled:
+            self._trace.broken("mangled")
             outcome = observer.Failed("mangled")
         if reusable and found is not None and self._agent.accepting:
             limit = self._entry.slots if self._entry is not None else 0
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -14,7 +14,7 @@
 from cicadafront.agent import targets as agent_targets
 from cicadafront.config import current, sync
 from cicadafront.config import model as config_model
-from cicadafront.daemon import options, root, supervisor
+from cicadafront.daemon import counted, measures, options, root, supervisor
 from cicadafront.health import crashes, permit_owner, probe
 from cicadafront.health import service as health_service
 from cicadafront.limits import assembly as limits_assembly
@@ -179,6 +179,8 @@
             self._account,
             unix_offset=time.time() - self.reactor.seconds(),
         )
+        self.admission = counted.CountedAdmission(self.limits.admission)
+        self.records = counted.CountedRecords(self.limits.outcomes)
 
     def _build_health(self) -> None:
         configuration = self.held_configuration
@@ -266,14 +268,20 @@
                 ("queues", slots.TICK_SECONDS, self.slots.tick),
             )
         ]
+        beside = RegisteredTargets(
+            self.registry, self.health, chosen.instance, chosen.data_centre
+        )
+        measures.register(
+            self.metrics,
+            measures.LocalLoad(self.registry, beside, self.slots),
+            self.membership,
+            self.http_store,
+            self.admission,
+            self.records,
+        )
         return root.Fleet(
             directory=self.directory,
-            beside=RegisteredTargets(
-                self.registry,
-                self.health,
-                chosen.instance,
-                chosen.data_centre,
-            ),
+            beside=beside,
             slots=self.slots,
             watcher=self.health,
             suspects=self.crashes,
@@ -282,8 +290,8 @@
             metrics=self.metrics,
             tracer=self.tracer,
             configuration=self.configuration,
-            admission=self.limits.admission,
-            records=self.limits.outcomes,
+            admission=self.admission,
+            records=self.records,
             hand_over=self.limits.stop,
             confirmed=lambda: self.sync.confirmed(self.reactor.seconds()),
             announce_leaving=self.membership.leave,
@@ -361,7 +369,16 @@
 
     def _accounts(self) -> list[operators.Json]:
         accounts = self.held.configuration.accounts
-        return [attrs.asdict(accounts[id]) for id in sorted(accounts)]
+        counts = self.admission
+        counts.forget(self.held.configuration)
+        return [
+            {
+                **attrs.asdict(accounts[id]),
+                "admitted": counts.admitted[id],
+                "refused": counts.refused[id],
+            }
+            for id in sorted(accounts)
+        ]
 
 
 def closing(assembly: FleetAssembly) -> "defer.Deferred[None]":
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -176,6 +176,13 @@
         self._forwarder = forward.Forwarder(site)
         self._edge = server.Site(self._forwarder, self._reactor, self.counts)
 
+        fleet.metrics.total_by("events", "event", lambda: self.counts)
+        fleet.metrics.gauge("links_opened", lambda: len(self.calls))
+        fleet.metrics.gauge("links_accepted", lambda: len(self._peers.links))
+        fleet.metrics.gauge(
+            "running_exchanges", lambda: len(self.agent.running)
+        )
+
     def _build_tree(self) -> None:
         self._peer_port = supervisor.Listener(
             "peer listener",
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -1,5 +1,6 @@
 """Twisted integration of the membership: UDP, time and state transfer."""
 
+import collections
 import random
 from collections.abc import Generator
 from typing import Any
@@ -41,6 +42,7 @@
         joined: Whether the full state of the fleet was received, or there
             is no seed to get it from.
         send_errors: Datagrams that the socket refused.
+        traffic: Bytes of datagrams, `sent` and `received`.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         )
         self.joined = not core.seeds
         self.send_errors = 0
+        self.traffic: collections.Counter[str] = collections.Counter()
         self._reactor = reactor
         self._core = core
         self._calls = calls
@@ -105,6 +108,7 @@
     def received(self, data: bytes, address: tuple[str, int]) -> None:
         """Takes a datagram from the socket."""
         now = self._reactor.seconds()
+        self.traffic["received"] += len(data)
         self._send(self._core.receive(now, data, address[:2]))
 
     def _tick(self) -> None:
@@ -122,6 +126,7 @@
             try:
                 transport = self._port
                 transport.write(datagram.data, datagram.address)
+                self.traffic["sent"] += len(datagram.data)
             except (OSError, ValueError, error.InvalidAddressError):
                 # A full buffer, or an address that a peer made up. Repair
                 # covers the loss.
--- a/src/cicadafront/store/client.py
+++ b/src/cicadafront/store/client.py
@@ -15,6 +15,7 @@
 """
 
 import base64
+import collections
 import json
 from typing import Any
 from urllib import parse
@@ -62,6 +63,9 @@
 class HttpStore:
     """The `Store` interface over HTTP; it never repeats a call by itself.
 
+    Attributes:
+        calls: Number of calls by result: `ok`, `refused` or `unavailable`.
+
     Args:
         reactor: Twisted reactor.
         url: Address such as `http://127.0.0.1:2379`.
@@ -71,6 +75,7 @@
     def __init__(
         self, reactor: Any, url: str, timeout: float = CALL_TIMEOUT_SECONDS
     ):
+        self.calls: collections.Counter[str] = collections.Counter()
         self._reactor = reactor
         self._url = url.rstrip("/")
         self._timeout = timeout
@@ -109,6 +114,25 @@
         query: dict[str, Any],
         data: bytes | None = None,
         wait: float = 0.0,
+    ) -> _Answer:
+        result = "unavailable"
+        try:
+            answer = await self._exchange(method, path, query, data, wait)
+            result = "ok"
+        except StoreRefusedError:
+            result = "refused"
+            raise
+        finally:
+            self.calls[result] += 1
+        return answer
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        data: bytes | None,
+        wait: float,
     ) -> _Answer:
         sending = defer.ensureDeferred(self._send(method, path, query, data))
         try:
--- a/src/cicadafront/telemetry/metrics.py
+++ b/src/cicadafront/telemetry/metrics.py
@@ -1,6 +1,6 @@
 """Counters, gauges and latency histograms, served in Prometheus text form."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 import prometheus_client
@@ -15,9 +15,12 @@
 # One histogram takes about 25 KB. Further label values share one histogram,
 # so that 880 services do not take tens of megabytes on every instance.
 MAX_HISTOGRAMS = 256
+# Bounds one counter: services times the few codes that each of them meets.
+MAX_SERIES = 8192
 OTHER = "other"
 
 Labels = tuple[tuple[str, str], ...]
+Reader = Callable[[], dict[Labels, float]]
 
 
 def new_histogram() -> histogram.HdrHistogram:
@@ -47,32 +50,54 @@
     return tuple(sorted(labels.items()))
 
 
+def _others(key: Labels) -> Labels:
+    return tuple((label, OTHER) for label, _ in key)
+
+
+def _labelled(label: str, read: Callable[[], Mapping[str, float]]) -> Reader:
+    return lambda: {((label, key),): value for key, value in read().items()}
+
+
 @attrs.define
 class Metrics(registry.Collector):
     """All metrics of one instance.
 
     Attributes:
         counters: Totals by name and labels.
+        totals: Functions that return totals that a part keeps, by name.
         gauges: Functions that return the current values, by name.
         latencies: Histograms by name and labels.
     """
 
     counters: dict[str, dict[Labels, float]] = attrs.field(factory=dict)
-    gauges: dict[str, Callable[[], dict[Labels, float]]] = attrs.field(
-        factory=dict
-    )
+    totals: dict[str, Reader] = attrs.field(factory=dict)
+    gauges: dict[str, Reader] = attrs.field(factory=dict)
     latencies: dict[str, dict[Labels, Latency]] = attrs.field(factory=dict)
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Adds to a counter."""
         values = self.counters.setdefault(name, {})
         key = _labels(labels)
+        if key not in values and len(values) >= MAX_SERIES:
+            key = _others(key)
         values[key] = values.get(key, 0) + amount
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Registers a gauge that is read when the metrics are served."""
         self.gauges[name] = lambda: {(): read()}
 
+    def gauge_by(
+        self, name: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Registers a gauge with one label."""
+        self.gauges[name] = _labelled(label, read)
+
+    def total_by(
+        self, name: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Registers totals that a part counts itself, with one label."""
+        self.totals[name] = _labelled(label, read)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Records a duration in seconds."""
         values = self.latencies.setdefault(name, {})
@@ -80,7 +105,7 @@
         latency = values.get(key)
         if latency is None:
             if len(values) >= MAX_HISTOGRAMS:
-                key = tuple((label, OTHER) for label, _ in key)
+                key = _others(key)
             latency = values.setdefault(key, Latency())
         latency.record(seconds)
 
@@ -88,6 +113,8 @@
         """Yields the metrics for the Prometheus client library."""
         for name, values in sorted(self.counters.items()):
             yield self._family(name, "counter", values, "_total")
+        for name, read in sorted(self.totals.items()):
+            yield self._family(name, "counter", read(), "_total")
         for name, read in sorted(self.gauges.items()):
             yield self._family(name, "gauge", read(), "")
         for name, latencies in sorted(self.latencies.items()):
--- a/src/cicadafront/telemetry/tracing.py
+++ b/src/cicadafront/telemetry/tracing.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-# A span takes about 1 KB, so that the kept spans stay near 20 MB.
+# A span takes about 0.5 KB, so that the kept spans stay near 10 MB.
 MAX_SPANS = 20_000
 # Bounds what a caller that reuses one trace id can fill.
 MAX_SPANS_PER_TRACE = 64
--- /dev/null
+++ b/tests/daemon/test_counted.py
@@ -0,0 +1,61 @@
+"""Tests of the counts of admissions and records."""
+
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import defer
+
+from cicadafront import errors, ports
+from cicadafront.config import model as config_model
+from cicadafront.daemon import counted
+
+AMANI = config_model.ClientAccount("amani", 10, 20)
+TICKET = ports.Ticket("amani", "k", 0, 0, 1)
+
+
+class Inner:
+    """Answers each call with a given result."""
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.finish = self.release = self.abandon = None
+
+    def admit(self, account):
+        return self.answer
+
+    def begin(self, account, key, digest, timeout):
+        return self.answer
+
+
+class CountedTest(unittest.TestCase):
+    """Guards against decisions that are changed or counted wrongly."""
+
+    def test_accounts(self):
+        refusal = errors.RateExceededError("x", retry_after=1.0)
+        inner = Inner(defer.succeed(None))
+        admission = counted.CountedAdmission(inner)
+        results = [admission.admit(AMANI)]
+        inner.answer = defer.fail(refusal)
+        failed = []
+        admission.admit(AMANI).addErrback(failed.append)
+        self.assertIsNone(results[0].result)
+        self.assertIs(failed[0].value, refusal)
+        self.assertEqual(admission.admitted, {"amani": 1})
+        self.assertEqual(admission.refused, {"amani": 1})
+        admission.forget(config_model.Configuration())
+        self.assertEqual((admission.admitted, admission.refused), ({}, {}))
+
+    @parameterized.expand(
+        [
+            ("start", ports.Start(TICKET)),
+            (errors.RecordMismatchError.code, errors.RecordMismatchError("x")),
+        ]
+    )
+    def test_records(self, kind, answer):
+        failed = isinstance(answer, Exception)
+        result = defer.fail(answer) if failed else defer.succeed(answer)
+        records = counted.CountedRecords(Inner(result))
+        seen = []
+        records.begin("amani", "k", b"", 1.0).addBoth(seen.append)
+        self.assertIs(seen[0].value if failed else seen[0], answer)
+        self.assertEqual(records.begun, {kind: 1})
--- /dev/null
+++ b/tests/daemon/test_operators.py
@@ -0,0 +1,45 @@
+"""Tests of what a daemon with all its parts serves to operators."""
+
+import time
+import unittest
+import urllib.error
+import urllib.request
+
+from cicadafront.emulator import processes
+
+WAIT_SECONDS = 30.0
+ALONE = processes.Deployment("alone", ("dc",), ("rounds",), 3)
+
+
+class MetricsTest(unittest.TestCase):
+    """Guards against parts whose counts are not served."""
+
+    def setUp(self):
+        self.fleet = processes.LocalFleet(ALONE)
+        self.addCleanup(self.fleet.stop)
+        self.fleet.start()
+
+    def _metrics(self):
+        instance = next(iter(self.fleet.instances.values()))
+        url = f"{instance.operators_url}/metrics"
+        try:
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                return answer.read().decode()
+        except (urllib.error.URLError, ConnectionError):
+            return ""
+
+    def test_parts_are_served(self):
+        wanted = (
+            'cicadafront_slots_in_use{service="rounds"} 0.0',
+            'cicadafront_queued{service="rounds"} 0.0',
+            'cicadafront_ejected_targets{service="rounds"} 0.0',
+            'cicadafront_store_calls_total{result="ok"}',
+            'cicadafront_credit_total{result="refused"} 0.0',
+            "cicadafront_links_opened 0.0",
+        )
+        limit = time.monotonic() + WAIT_SECONDS
+        text = ""
+        while not all(line in text for line in wanted):
+            self.assertLess(time.monotonic(), limit, text)
+            time.sleep(0.1)
+            text = self._metrics()
--- a/tests/daemon/test_path.py
+++ b/tests/daemon/test_path.py
@@ -137,3 +137,22 @@
             self.assertEqual(found["target"]["span_id"], context.span_id)
             self.assertEqual(found["link"]["target"], "t")
             self.assertEqual(found["run"]["status"], 200)
+
+    def test_metrics_of_both_roles(self):
+        # Guards against requests that no metric counts.
+        caller = self._start(fleet.echo)
+        for path in ("/a", "/b"):
+            caller.request("GET", path)
+            caller.getresponse().read()
+        entry = self.entry.read("/metrics").decode()
+        agent = self.agent.read("/metrics").decode()
+        for text, line in (
+            (entry, 'entry_requests_total{code="ok",service="s"} 2.0'),
+            (entry, 'entry_first_byte_seconds_count{service="s"} 2.0'),
+            (entry, 'entry_total_seconds_count{service="s"} 2.0'),
+            (entry, "links_opened 1.0"),
+            (agent, 'agent_requests_total{code="ok",service="s"} 2.0'),
+            (agent, 'agent_queue_wait_seconds_count{service="s"} 2.0'),
+            (agent, "links_accepted 1.0"),
+        ):
+            self.assertIn(f"cicadafront_{line}", text)
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -1,5 +1,6 @@
 """Tests of spans, metrics and log lines."""
 
+import collections
 import io
 import json
 import random
@@ -119,6 +120,24 @@
         other = latencies[(("service", metrics.OTHER),)]
         self.assertEqual(other.values.get_total_count(), 50)
 
+    def test_counters_are_bounded(self):
+        values = metrics.Metrics()
+        for index in range(metrics.MAX_SERIES + 50):
+            values.count("requests", service=f"s{index}")
+        series = values.counters["requests"]
+        self.assertEqual(len(series), metrics.MAX_SERIES + 1)
+        self.assertEqual(series[(("service", metrics.OTHER),)], 50)
+
+    def test_counts_of_the_parts(self):
+        # Guards against totals that are frozen when they are registered.
+        values, kept = metrics.Metrics(), collections.Counter(retries=1)
+        values.total_by("events", "event", lambda: kept)
+        values.gauge_by("slots", "service", lambda: {"s": 2})
+        kept["retries"] += 1
+        text = values.text().decode()
+        self.assertIn('cicadafront_events_total{event="retries"} 2.0', text)
+        self.assertIn('cicadafront_slots{service="s"} 2.0', text)
+
 
 class LogTest(unittest.TestCase):
     """Guards against log lines without their prefix or with raw bytes."""
