Hedge repeatable reads after the p95 of their service

Cause: the delay of `routing/retry.py` was not used, so one slow target decided the p99 of the reads that it got.

Change: a GET or HEAD without a body on a repeatable route gets a second attempt on another target when no head has come after the p95 of the service, measured at this entry. It comes out of the retry budget, and a crash suspect is never hedged. The first head wins; the other attempt can no longer reach the caller. It is cancelled 350 ms after its start, not at once: the detector ignores cancelled requests, so that cancelling at once would hide slow and stalled targets behind the hedges.

With more than 5% of the reads at a slow target the p95 itself is slow and hedges come late.

--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -25,7 +25,13 @@
     records,
     service,
 )
-from cicadafront.routing import picker, retry_budgets, slots, subset_view
+from cicadafront.routing import (
+    hedges,
+    picker,
+    retry_budgets,
+    slots,
+    subset_view,
+)
 from cicadafront.store import client
 from cicadafront.telemetry import metrics, operators, tracing
 
@@ -286,6 +292,7 @@
             watcher=self.health,
             suspects=self.crashes,
             budget=retry_budgets.RetryBudgets(),
+            hedges=hedges.ServiceHedges(),
             picker=self.picker,
             metrics=self.metrics,
             tracer=self.tracer,
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -41,7 +41,8 @@
         slots: Slots and queue of the targets beside this instance.
         watcher: Judges the targets beside this instance.
         suspects: Refuses requests that crash targets.
-        budget: Bounds retries.
+        budget: Bounds retries and hedges.
+        hedges: Decides when a read gets a second attempt.
         picker: Chooses targets; the least loaded of two without one.
         metrics: Metrics of this instance.
         tracer: Spans of this instance; a new one without it.
@@ -63,6 +64,7 @@
     watcher: observer.Observer = attrs.field(factory=observer.NullObserver)
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
     budget: policies.RetryBudget = attrs.field(factory=policies.ShareBudget)
+    hedges: policies.Hedges = attrs.field(factory=policies.NoHedges)
     picker: policies.Picker | None = None
     metrics: metrics_module.Metrics = attrs.field(
         factory=metrics_module.Metrics
@@ -163,6 +165,7 @@
             records=fleet.records,
             picker=picker,
             budget=fleet.budget,
+            hedges=fleet.hedges,
             open_at=self.calls.open,
             targets=fleet.directory.targets,
             relay=self._relay,
--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -1,12 +1,16 @@
 """One attempt to run a request at a target."""
 
-from typing import Protocol
+from typing import Any, Protocol
 
 from cicadafront import errors, model
 from cicadafront.edge import parts
 from cicadafront.peer import exchange
 from cicadafront.telemetry import tracing
 
+# An overtaken attempt may end by itself until this time after its start, so
+# that its agent still sees a slow (latency) or stalled (250 ms) target.
+OVERTAKEN_SECONDS = 0.35
+
 
 class Parent(Protocol):
     """The exchange that an attempt belongs to."""
@@ -57,17 +61,33 @@
         self.done = False
         self._parent = parent
         self._site = site
+        self._began = site.clock.seconds()
+        self._timer: Any = None
         self._taken = 0
         self._headed = False
 
     def cancel(self) -> None:
         """Gives the attempt up."""
         if not self.done:
-            self.done = True
-            self._site.tracer.finish(self.span, cancelled=True)
+            self._end(cancelled=True)
             if self.request is not None:
                 self.request.cancel()
 
+    def overtaken(self) -> None:
+        """Drops the answer, because another attempt was faster."""
+        self._parent = _Overtaken(self._site)
+        self.span.fields["overtaken"] = True
+        age = self._site.clock.seconds() - self._began
+        self._timer = self._site.clock.callLater(
+            max(0.0, OVERTAKEN_SECONDS - age), self.cancel
+        )
+
+    def _end(self, **fields: object) -> None:
+        self.done = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._site.tracer.finish(self.span, **fields)
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         """Takes the head of the answer."""
         if self._stale(twice=self._headed):
@@ -84,17 +104,13 @@
     def end(self) -> None:
         """Takes the end of the answer."""
         if not self._stale():
-            self.done = True
-            self._site.tracer.finish(self.span)
+            self._end()
             self._parent.attempt_end()
 
     def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
         """Takes the failure of the attempt."""
         if not self._stale():
-            self.done = True
-            self._site.tracer.finish(
-                self.span, code=error.code, executed=error.executed.value
-            )
+            self._end(code=error.code, executed=error.executed.value)
             self._parent.attempt_failed(self, error, load)
 
     def consumed(self, count: int) -> None:
@@ -108,3 +124,33 @@
         if stale:
             self._site.counts["answers_dropped"] += 1
         return stale
+
+
+class _Overtaken:
+    """Takes what comes for an attempt that lost against another one."""
+
+    def __init__(self, site: parts.Parts):
+        self._site = site
+
+    def attempt_head(
+        self, attempt: Attempt, head: model.ResponseHead, load: exchange.Load
+    ) -> None:
+        now = self._site.clock.seconds()
+        self._site.picker.observe(attempt.target.id, load, now)
+
+    def attempt_body(self, data: bytes) -> None:
+        pass
+
+    def attempt_end(self) -> None:
+        pass
+
+    def attempt_failed(
+        self,
+        attempt: Attempt,
+        error: errors.RequestError,
+        load: exchange.Load,
+    ) -> None:
+        pass
+
+    def attempt_took(self, attempt: Attempt, total: int) -> None:
+        pass
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -1,6 +1,6 @@
-"""Choice of targets and retries for one request."""
+"""Choice of targets, retries and hedges for one request."""
 
-from typing import Protocol
+from typing import Any, Protocol
 
 from cicadafront import errors, model
 from cicadafront.edge import attempt, held, order, parts, policies
@@ -63,6 +63,10 @@
         self._parent = parent
         self._context = context
         self._current: attempt.Attempt | None = None
+        # A second copy of a read, while neither copy has an answer.
+        self._hedge: attempt.Attempt | None = None
+        self._timer: Any = None
+        self._began = 0.0
         self._count = 0
         self._excluded: set[str] = set()
         self._cut_off: list[model.Target] = []
@@ -72,19 +76,26 @@
     @property
     def running(self) -> bool:
         """Whether an attempt is under way."""
-        return self._current is not None and not self._current.done
+        return any(not copy.done for copy in self._copies())
+
+    def _copies(self) -> list[attempt.Attempt]:
+        copies = (self._current, self._hedge)
+        return [copy for copy in copies if copy is not None]
 
     def start(self) -> None:
         """Makes the first attempt."""
-        now = self._site.clock.seconds()
+        self._began = now = self._site.clock.seconds()
         self._site.budget.request(self._service, now)
+        self._plan_hedge()
         self._try(policies.unavailable(self._service))
 
     def cancel(self) -> None:
         """Gives up; a target that has the request may have run it."""
-        if self._current is not None and not self._current.done:
-            self.maybe_ran = True
-            self._current.cancel()
+        self._disarm()
+        for copy in self._copies():
+            if not copy.done:
+                self.maybe_ran = True
+                copy.cancel()
 
     def body(self, data: bytes) -> None:
         """Passes on a piece of the request body."""
@@ -119,6 +130,10 @@
         if target is None:
             self._parent.answer_failed(otherwise)
             return
+        self._current = self._opened(target, via)
+        self._send(self._current, target, via)
+
+    def _opened(self, target: model.Target, via: str) -> attempt.Attempt:
         self._count += 1
         self._excluded.add(target.id)
         span = self._site.tracer.start(
@@ -129,9 +144,12 @@
             via=via,
             attempt=self._count,
         )
-        opened = attempt.Attempt(self, target, self._site, span)
-        self._current = opened
-        request = self._request(target, via, span.context)
+        return attempt.Attempt(self, target, self._site, span)
+
+    def _send(
+        self, opened: attempt.Attempt, target: model.Target, via: str
+    ) -> None:
+        request = self._request(target, via, opened.span.context)
         sink = self._site.open_at(via or target.instance, request, opened)
         opened.request = sink
         if opened.done:
@@ -141,6 +159,57 @@
         if self._body.complete and not opened.done:
             sink.end()
 
+    # Hedges.
+
+    def _plan_hedge(self) -> None:
+        if not (self._order.is_read and self._body.complete):
+            return
+        delay = self._site.hedges.delay(self._service)
+        if delay is not None and not self._body.size:
+            clock = self._site.clock
+            self._timer = clock.callLater(delay, self._start_hedge)
+
+    def _disarm(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+
+    def _start_hedge(self) -> None:
+        try:
+            target = self._pick_hedge()
+        except errors.RequestError:
+            # The running copy decides about the answer.
+            return
+        now = self._site.clock.seconds()
+        if target is None:
+            return
+        if not self._site.budget.try_retry(self._service, now):
+            self._site.counts["hedges_refused"] += 1
+            return
+        self._site.counts["hedges"] += 1
+        self._hedge = self._opened(target, "")
+        self._send(self._hedge, target, "")
+
+    def _pick_hedge(self) -> model.Target | None:
+        account, suspects = self._order.account_id, self._site.suspects
+        suspects.check(account, self._fingerprint)
+        if suspects.lone_target(account, self._fingerprint, self._service):
+            # It must not run anywhere else meanwhile.
+            return None
+        return self._pick()
+
+    def _win(self, winner: attempt.Attempt) -> None:
+        self._disarm()
+        seconds = self._site.clock.seconds() - self._began
+        if self._order.is_read and not self._body.size:
+            self._site.hedges.answered(self._service, seconds)
+        if self._hedge is None:
+            return
+        self._site.counts["hedges_won"] += winner is self._hedge
+        for copy in self._copies():
+            if copy is not winner:
+                copy.overtaken()
+        self._current, self._hedge = winner, None
+
     def _pick(self) -> model.Target | None:
         lone = self._site.suspects.lone_target(
             self._order.account_id, self._fingerprint, self._service
@@ -201,6 +270,7 @@
         self._site.picker.observe(attempt.target.id, load, now)
         self._headed = True
         self.maybe_ran = True
+        self._win(attempt)
         self._parent.answer_head(head, load)
 
     def attempt_body(self, data: bytes) -> None:
@@ -231,6 +301,12 @@
             self._cut(attempt.target)
         else:
             self._site.picker.observe(attempt.target.id, load, now)
+        left = next((copy for copy in self._copies() if not copy.done), None)
+        if left is not None:
+            # The other copy may still answer.
+            self._current, self._hedge = left, None
+            return
+        self._disarm()
         if self._may_retry(error):
             self._site.counts["retries"] += 1
             self._try(error)
--- a/src/cicadafront/edge/order.py
+++ b/src/cicadafront/edge/order.py
@@ -8,6 +8,7 @@
 
 MAX_KEY_BYTES = 255
 
+_READS = frozenset({"GET", "HEAD"})
 _KEY_HEADER = b"idempotency-key"
 
 
@@ -28,6 +29,11 @@
     account: config_model.ClientAccount | None = None
     key: str = ""
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the request may be hedged if it has no body."""
+        return self.route.repeatable and self.head.method in _READS
+
     @property
     def account_id(self) -> str:
         """Id of the account, empty on open routes."""
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -24,7 +24,8 @@
         admission: Rates of client accounts.
         records: Idempotency records.
         picker: Chooses targets.
-        budget: Bounds retries.
+        budget: Bounds retries and hedges.
+        hedges: Decides when a read gets a second attempt.
         suspects: Refuses requests that crash targets.
         open_at: Opens an exchange at an instance.
         targets: Returns the targets of a service.
@@ -45,6 +46,7 @@
     relay: Callable[[str], str | None]
     clock: Any
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
+    hedges: policies.Hedges = attrs.field(factory=policies.NoHedges)
     confirmed: Callable[[], bool] = lambda: True
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
     metrics: metrics_module.Metrics = attrs.field(
--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -32,6 +32,27 @@
         """Takes one retry out of the budget, if there is one."""
 
 
+class Hedges(Protocol):
+    """Decides when a repeatable read gets a second attempt."""
+
+    def delay(self, service: str) -> float | None:
+        """Returns the seconds to wait for the head, or None for no hedge."""
+
+    def answered(self, service: str, seconds: float) -> None:
+        """Notes the time from the first attempt to the first head."""
+
+
+class NoHedges:
+    """Never makes a second attempt."""
+
+    def delay(self, service: str) -> float | None:
+        """Hedges nothing."""
+        return None
+
+    def answered(self, service: str, seconds: float) -> None:
+        """Ignores the time."""
+
+
 class Suspects(Protocol):
     """Requests that have crashed targets."""
 
