--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -15,6 +15,8 @@
 from cicadafront.daemon import local, options, supervisor
 from cicadafront.edge import forward, parts, policies, server
 from cicadafront.peer import codec, exchange, link, pool
+from cicadafront.telemetry import metrics as metrics_module
+from cicadafront.telemetry import tracing
 
 IDLE_CHECK_SECONDS = 5.0
 # Interval at which a planned stop looks whether all work has ended.
@@ -39,8 +41,11 @@
         slots: Slots and queue of the targets beside this instance.
         watcher: Judges the targets beside this instance.
         suspects: Refuses requests that crash targets.
-        budget: Bounds retries.
+        budget: Bounds retries and hedges.
+        hedges: Decides when a read gets a second attempt.
         picker: Chooses targets; the least loaded of two without one.
+        metrics: Metrics of this instance.
+        tracer: Spans of this instance; a new one without it.
         announce_leaving: Tells the fleet about a planned stop.
         hand_over: Hands over what this instance owns, once its exchanges
             have ended and while its links are still open.
@@ -59,7 +64,12 @@
     watcher: observer.Observer = attrs.field(factory=observer.NullObserver)
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
     budget: policies.RetryBudget = attrs.field(factory=policies.ShareBudget)
+    hedges: policies.Hedges = attrs.field(factory=policies.NoHedges)
     picker: policies.Picker | None = None
+    metrics: metrics_module.Metrics = attrs.field(
+        factory=metrics_module.Metrics
+    )
+    tracer: tracing.Tracer | None = None
     announce_leaving: Callable[[], None] = lambda: None
     hand_over: Callable[[], "defer.Deferred[None]"] = lambda: defer.succeed(
         None
@@ -115,12 +125,16 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._build_peer()
         self._fleet = fleet = build_fleet(self.calls)
+        if fleet.tracer is None:
+            fleet.tracer = tracing.Tracer(settings.instance, reactor.seconds)
         self.agent = agent.Agent(
             fleet.beside,
             fleet.slots,
             fleet.watcher,
             targets.TcpConnector(reactor),
             reactor,
+            fleet.metrics,
+            fleet.tracer,
         )
         self._build_edge()
         self._build_tree()
@@ -151,6 +165,7 @@
             records=fleet.records,
             picker=picker,
             budget=fleet.budget,
+            hedges=fleet.hedges,
             open_at=self.calls.open,
             targets=fleet.directory.targets,
             relay=self._relay,
@@ -158,10 +173,19 @@
             suspects=fleet.suspects,
             confirmed=fleet.confirmed,
             counts=self.counts,
+            metrics=fleet.metrics,
+            tracer=self.agent.tracer,
         )
         self._forwarder = forward.Forwarder(site)
         self._edge = server.Site(self._forwarder, self._reactor, self.counts)
 
+        fleet.metrics.total_by("events", "event", lambda: self.counts)
+        fleet.metrics.gauge("links_opened", lambda: len(self.calls))
+        fleet.metrics.gauge("links_accepted", lambda: len(self._peers.links))
+        fleet.metrics.gauge(
+            "running_exchanges", lambda: len(self.agent.running)
+        )
+
     def _build_tree(self) -> None:
         self._peer_port = supervisor.Listener(
             "peer listener",
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -10,6 +10,8 @@
 from cicadafront.config import model as config_model
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
+from cicadafront.telemetry import metrics as metrics_module
+from cicadafront.telemetry import tracing
 
 
 @attrs.define
@@ -22,13 +24,16 @@
         admission: Rates of client accounts.
         records: Idempotency records.
         picker: Chooses targets.
-        budget: Bounds retries.
+        budget: Bounds retries and hedges.
+        hedges: Decides when a read gets a second attempt.
         suspects: Refuses requests that crash targets.
         open_at: Opens an exchange at an instance.
         targets: Returns the targets of a service.
         relay: Returns a third instance on the way to an instance, or None.
         clock: Source of time and timers.
         counts: Counts retries and dropped answers.
+        metrics: Metrics of this instance.
+        tracer: Spans of this instance.
     """
 
     configuration: Callable[[], config_model.Configuration | None]
@@ -41,5 +46,15 @@
     relay: Callable[[str], str | None]
     clock: Any
     suspects: policies.Suspects = attrs.field(factory=policies.NoSuspects)
+    hedges: policies.Hedges = attrs.field(factory=policies.NoHedges)
     confirmed: Callable[[], bool] = lambda: True
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    metrics: metrics_module.Metrics = attrs.field(
+        factory=metrics_module.Metrics
+    )
+    tracer: tracing.Tracer = attrs.field(
+        default=attrs.Factory(
+            lambda self: tracing.Tracer("", self.clock.seconds),
+            takes_self=True,
+        )
+    )
--- a/tests/telemetry/test_telemetry.py
+++ b/tests/telemetry/test_telemetry.py
@@ -1,5 +1,6 @@
 """Tests of spans, metrics and log lines."""
 
+import collections
 import io
 import json
 import random
@@ -54,6 +55,44 @@
         self.assertEqual(spans[1].parent, spans[0].context.span_id)
         self.assertEqual([s.seconds for s in spans], [6.0, 3.0])
 
+    @parameterized.expand(
+        [
+            ("usual", {"status": 200}, 0.1, False),
+            ("failed", {"code": "target_failed"}, 0.1, True),
+            ("server error", {"status": 503}, 0.1, True),
+            ("slow", {"status": 200}, tracing.SLOW_SECONDS, True),
+        ]
+    )
+    def test_notable_traces_are_kept_longest(self, _name, fields, took, kept):
+        # Guards against usual traffic that displaces the traces of faults,
+        # and against memory that grows with the traffic.
+        now = [0.0]
+        tracer = tracing.Tracer(
+            "dar-a-1",
+            clock=lambda: now[0],
+            id_source=random.Random(1),
+            limit=10,
+        )
+        first = tracer.start("entry")
+        below = tracer.start("link", first.context)
+        tracer.finish(below)
+        now[0] = took
+        tracer.finish(first, **fields)
+        for _ in range(100):
+            tracer.finish(tracer.start("entry"))
+        found = tracer.trace(first.context.trace_id)
+        self.assertEqual(len(found), 2 if kept else 0)
+        held = [*tracer.usual.values(), *tracer.notable.values()]
+        self.assertLessEqual(sum(map(len, held)), 10)
+
+    def test_one_trace_is_bounded(self):
+        # Guards against a caller that reuses one trace id for ever.
+        tracer = tracing.Tracer("dar-a-1", clock=lambda: 0.0)
+        for _ in range(2 * tracing.MAX_SPANS_PER_TRACE):
+            tracer.finish(tracer.start("entry", f"00-{TRACE}-{SPAN}-01"))
+        kept = tracer.trace(TRACE)
+        self.assertEqual(len(kept), tracing.MAX_SPANS_PER_TRACE)
+
 
 class MetricsTest(unittest.TestCase):
     """Guards against metrics that scrapers cannot read or that grow."""
@@ -81,6 +120,24 @@
         other = latencies[(("service", metrics.OTHER),)]
         self.assertEqual(other.values.get_total_count(), 50)
 
+    def test_counters_are_bounded(self):
+        values = metrics.Metrics()
+        for index in range(metrics.MAX_SERIES + 50):
+            values.count("requests", service=f"s{index}")
+        series = values.counters["requests"]
+        self.assertEqual(len(series), metrics.MAX_SERIES + 1)
+        self.assertEqual(series[(("service", metrics.OTHER),)], 50)
+
+    def test_counts_of_the_parts(self):
+        # Guards against totals that are frozen when they are registered.
+        values, kept = metrics.Metrics(), collections.Counter(retries=1)
+        values.total_by("events", "event", lambda: kept)
+        values.gauge_by("slots", "service", lambda: {"s": 2})
+        kept["retries"] += 1
+        text = values.text().decode()
+        self.assertIn('cicadafront_events_total{event="retries"} 2.0', text)
+        self.assertIn('cicadafront_slots{service="s"} 2.0', text)
+
 
 class LogTest(unittest.TestCase):
     """Guards against log lines without their prefix or with raw bytes."""
