Add benchmarks with bounds for the hot decisions

Cause: nothing held the cost of the decisions that every request takes against the target size (290,000 requests/s over 1,300 instances).

Change: bench/hot.py times 13 decisions as ratios to a reference loop that runs beside them and takes 3 counts; `make bench` runs it, and tests/bench/test_hot.py runs its short form and checks that a planted slow decision is seen. Each bound is the share of a core that the decision may take over its rate at the target size.

The share of requests that carry an idempotency key (one in ten) is an assumption.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 TESTS ?= tests
 
-.PHONY: test lint types unit format demo
+.PHONY: test lint types unit format demo bench
 
 test: lint types unit
 
@@ -28,3 +28,6 @@
 
 demo: .venv/installed
 	$(BIN)/python -m cicadafront.emulator.demo
+
+bench: .venv/installed
+	$(BIN)/python -m bench.hot
--- /dev/null
+++ b/bench/hot.py
@@ -0,0 +1,129 @@
+"""Benchmarks of the hot decisions, with bounds that come from the target size.
+
+    PYTHONPATH=src python -m bench.hot
+
+A time is the least processor time of several runs, as a ratio to a fixed
+reference loop that runs next to it, so that a busy or slower machine gives the
+same verdict. The reference core is defined as one that runs this loop 1,000
+times a second; a decision taken `rate` times a second that may use `share` of
+that core has the bound `share / rate` seconds: `1000 * share / rate` loops.
+
+The rates are those of one instance at the target size: 290,000 requests/s over
+1,300 instances are 224 a second at the entry and as many beside targets. The
+exit code is 1 if a bound is exceeded.
+"""
+
+import argparse
+import json
+import sys
+import time
+import timeit
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from bench import hot_cases
+
+# Runs a second on the reference core.
+LOOPS_PER_SECOND = 1000.0
+REPEATS = 7
+QUICK_REPEATS = 3
+# Time of one run; short ones are dominated by the timer and by interrupts.
+RUN_SECONDS = 0.02
+QUICK_RUN_SECONDS = 0.01
+
+
+def reference_loop() -> int:
+    """Does a fixed amount of lookups, arithmetic and stores."""
+    table = dict.fromkeys(range(256), 1)
+    total = 0
+    for number in range(10_000):
+        total = (total + table[number & 255] * number) & 0xFFFF
+        table[total & 255] = number
+    return total
+
+
+@attrs.frozen
+class Result:
+    """One measured figure and its bound, in the same unit."""
+
+    name: str
+    unit: str
+    figure: float
+    bound: float
+    share: float = 0.0
+
+    @property
+    def held(self) -> bool:
+        """Whether the figure is within its bound."""
+        return self.figure <= self.bound
+
+
+def _loops(action: Callable[[], object], repeats: int, seconds: float) -> float:
+    """Returns the time of an action in reference loops.
+
+    An action that takes longer than `seconds` is run once per repetition.
+    """
+    # Time in which other processes have the core does not count.
+    timer = timeit.Timer(action, timer=time.process_time)
+    reference = timeit.Timer(reference_loop, timer=time.process_time)
+    times = [timer.timeit(1)]
+    bases = reference.repeat(5, 1)
+    number = max(1, round(seconds / max(times[0], 1e-7)))
+    for _ in range(repeats):
+        bases.append(reference.timeit(3) / 3)
+        times.append(timer.timeit(number) / number)
+    return min(times) / min(bases)
+
+
+def measure(case: hot_cases.Timed, quick: bool) -> Result:
+    """Times one decision."""
+    repeats = QUICK_REPEATS if quick else REPEATS
+    if case.slow:
+        repeats = 0 if quick else 1
+    seconds = QUICK_RUN_SECONDS if quick else RUN_SECONDS
+    figure = _loops(case.make(), repeats, seconds)
+    bound = LOOPS_PER_SECOND * case.share / case.rate
+    used = figure * case.rate / LOOPS_PER_SECOND
+    return Result(case.name, "loops", figure, bound, used)
+
+
+def run(quick: bool = False, only: str = "") -> list[Result]:
+    """Runs all benchmarks whose name contains a text."""
+    results = [
+        measure(case, quick) for case in hot_cases.TIMED if only in case.name
+    ]
+    results += [
+        Result(case.name, case.unit, case.count(), case.bound)
+        for case in hot_cases.COUNTED
+        if only in case.name
+    ]
+    return results
+
+
+def show(results: Sequence[Result]) -> None:
+    """Prints a table and one line of JSON."""
+    print(f"{'decision':44}{'unit':>7}{'figure':>11}{'bound':>11}{'core':>8}")
+    for each in results:
+        share = f"{100 * each.share:.2f}%" if each.share else ""
+        verdict = "" if each.held else "  EXCEEDED"
+        print(
+            f"{each.name:44}{each.unit:>7}{each.figure:>11.4f}"
+            f"{each.bound:>11.4f}{share:>8}{verdict}"
+        )
+    print(json.dumps([attrs.asdict(each) for each in results]))
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the benchmarks; returns 1 if a bound is exceeded."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="fewer repeats")
+    parser.add_argument("--only", default="", help="part of a name")
+    options = parser.parse_args(arguments)
+    results = run(options.quick, options.only)
+    show(results)
+    return 0 if all(each.held for each in results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/hot_cases.py
@@ -0,0 +1,448 @@
+"""The decisions that `bench.hot` measures, at the target size.
+
+Everything is built from numbers, without a random source, but for the choice
+of a target, whose source is seeded.
+"""
+
+import functools
+import hashlib
+import itertools
+import random
+import tracemalloc
+from collections.abc import Callable
+
+import attrs
+
+from bench import gossip_fleet
+from cicadafront import model, ports
+from cicadafront.config import folder
+from cicadafront.config import model as config_model
+from cicadafront.health import detector, outcomes, reference
+from cicadafront.limits import grants, ledger, records
+from cicadafront.membership import codec as gossip_codec
+from cicadafront.membership import messages
+from cicadafront.membership import records as members
+from cicadafront.peer import codec as peer_codec
+from cicadafront.peer import exchange
+from cicadafront.routing import fairqueue, picker, subset, subset_view
+
+SEED = 1
+INSTANCES = 1300
+TARGETS = 15_000
+SERVICES = 880
+LARGE_SERVICE = 17
+ACCOUNTS = 33_000
+ROUTES = 8_000
+DATA_CENTRES = 6
+REQUESTS = 290_000 / INSTANCES
+# Instance and target records that change a second: 2,430 replacements a day,
+# each with three states of the old and new instance and four of 12 targets.
+FLEET_CHANGES = 2430 * (3 + 4 * 12) / 86_400
+# 12 targets, each judged every 0.1 s.
+VERDICTS = 12 / 0.1
+# Owners share the records of the fleet; one request in ten is taken to carry
+# an idempotency key. The design names no share, so this is an assumption.
+BEGINS = 290_000 / 10 / 48
+CONFIG_CHANGES = 2700 / 86_400
+# Gossip sends 1.2 KB/s; the smallest datagrams have about 100 bytes with IP
+# and UDP headers, so that at most 12 are sent a second and as many received.
+DATAGRAMS = 1200 / 100
+
+
+@attrs.frozen
+class Timed:
+    """A decision with the time that it may take.
+
+    Attributes:
+        name: Name in the table.
+        make: Prepares the state and returns the action to time.
+        rate: Actions a second of one instance at the target size.
+        share: Share of a core that they may take together.
+        slow: Whether one action takes long enough to be timed alone.
+    """
+
+    name: str
+    make: Callable[[], Callable[[], object]]
+    rate: float
+    share: float
+    slow: bool = False
+
+
+@attrs.frozen
+class Counted:
+    """A count that does not depend on the machine."""
+
+    name: str
+    unit: str
+    count: Callable[[], float]
+    bound: float
+
+
+def _target(number: int, services: int) -> model.Target:
+    instance = number % INSTANCES
+    return model.Target(
+        f"i{instance:04d}-t{number // INSTANCES:02d}",
+        f"svc-{number % services}",
+        f"i{instance:04d}",
+        3,
+        warm_since=-60.0,
+        data_centre=f"dc-{instance % DATA_CENTRES}",
+    )
+
+
+class Directory:
+    """All instances and targets of a fleet of the target size."""
+
+    def __init__(self, targets: int = TARGETS, services: int = SERVICES):
+        self._handlers: list[Callable[[], None]] = []
+        self._targets: dict[str, list[model.Target]] = {}
+        for number in range(targets):
+            target = _target(number, services)
+            self._targets.setdefault(target.service, []).append(target)
+        self._instances = [
+            ports.InstanceInfo(
+                f"i{n:04d}", 1, f"dc-{n % DATA_CENTRES}", ("10.0.0.1", 7100)
+            )
+            for n in range(INSTANCES)
+        ]
+
+    def targets(self, service: str) -> list[model.Target]:
+        """Returns the targets of a service."""
+        return self._targets.get(service, [])
+
+    def instances(self) -> list[ports.InstanceInfo]:
+        """Returns all instances."""
+        return self._instances
+
+    def instance(self, id: str) -> ports.InstanceInfo | None:
+        """Returns one instance."""
+        return self._instances[int(id[1:])]
+
+    def on_change(self, handler: Callable[[], None]) -> None:
+        """Takes a function to call after a change."""
+        self._handlers.append(handler)
+
+    def change(self) -> None:
+        """Tells all readers of a change."""
+        for handler in self._handlers:
+            handler()
+
+
+def _picker(view: subset_view.SubsetView) -> picker.Picker:
+    return picker.Picker(random.Random(SEED), view.targets, data_centre="dc-0")
+
+
+def _pick_fleet() -> Callable[[], object]:
+    view = subset_view.SubsetView("i0000", Directory())
+    chooser = _picker(view)
+    services = itertools.cycle(f"svc-{n}" for n in range(SERVICES))
+    for _ in range(SERVICES):
+        chooser.pick(next(services), frozenset(), 0.0)
+    return lambda: chooser.pick(next(services), frozenset(), 0.0)
+
+
+def _pick_service() -> Callable[[], object]:
+    view = subset_view.SubsetView("i0000", Directory(LARGE_SERVICE, 1))
+    chooser = _picker(view)
+    return lambda: chooser.pick("svc-0", frozenset(), 0.0)
+
+
+def _pick_after_change() -> Callable[[], object]:
+    directory = Directory()
+    chooser = _picker(subset_view.SubsetView("i0000", directory))
+
+    def action() -> object:
+        directory.change()
+        return chooser.pick("svc-0", frozenset(), 0.0)
+
+    return action
+
+
+def _queue(accounts: int) -> Callable[[], object]:
+    queue = fairqueue.FairQueue(3, lambda _: None, lambda *_: None)
+    times = itertools.count()
+
+    def submit(account: str) -> fairqueue.Entry:
+        now = next(times) * 0.001
+        entry = fairqueue.Entry(account, now + 3600)
+        queue.submit(entry, now)
+        return entry
+
+    running = [submit(f"a{n % accounts}") for n in range(3)]
+    names = itertools.cycle(f"a{n}" for n in range(accounts))
+
+    def action() -> None:
+        entry = running.pop(0)
+        queue.finished(entry, next(times) * 0.001)
+        running.append(submit(next(names)))
+
+    return action
+
+
+def _admission() -> Callable[[], object]:
+    held = grants.Grants()
+    held.admit(0.0, "a1")
+    grant = ledger.Grant((1, 1), 10**9, 2.0)
+    held.granted(0.0, 0.0, "a1", grant)
+    return lambda: held.admit(0.5, "a1")
+
+
+def _judge() -> tuple[detector.Detector, reference.Reference, list[float]]:
+    judged = detector.Detector("t0")
+    known = reference.References()
+    clock = [0.0]
+    for number in range(LARGE_SERVICE):
+        other = detector.Detector(f"t{number}")
+        for serial in range(64):
+            _work(other, clock, serial)
+        known.learn(clock[0], other.summary(clock[0], 1.0))
+    for serial in range(64):
+        _work(judged, clock, serial)
+    return judged, known.reference(clock[0], "t0"), clock
+
+
+def _work(judge: detector.Detector, clock: list[float], serial: int) -> None:
+    clock[0] += 0.001
+    work = outcomes.Work(serial, f"r{serial % 4}")
+    judge.started(clock[0], work)
+    judge.finished(clock[0], work, outcomes.Completed(200, 0.02))
+
+
+def _outcome() -> Callable[[], object]:
+    judge, _, clock = _judge()
+    serials = itertools.count(1000)
+    return lambda: _work(judge, clock, next(serials))
+
+
+def _verdict() -> Callable[[], object]:
+    judge, known, clock = _judge()
+    for serial in range(3):
+        judge.started(clock[0], outcomes.Work(10_000 + serial, "r0"))
+    return lambda: judge.verdict(clock[0] + 0.1, known)
+
+
+@functools.cache
+def files() -> dict[str, bytes]:
+    """Returns a configuration of the target size as TOML files."""
+    secret = config_model.secret_digest("secret").hex()
+    accounts = "".join(
+        f"[accounts.a{n}]\nrate = 10\nburst = 20\n" for n in range(ACCOUNTS)
+    )
+    keys = "".join(
+        f'[keys.k{n}]\naccount = "a{n}"\ndigest = "{secret}"\n'
+        for n in range(ACCOUNTS)
+    )
+    services = "".join(f"[services.svc-{n}]\n" for n in range(SERVICES))
+    routes = "".join(
+        f'[routes.r{n}]\nprefix = "/s{n % SERVICES}/r{n}"\n'
+        f'methods = ["GET"]\nservice = "svc-{n % SERVICES}"\n'
+        for n in range(ROUTES)
+    )
+    parts = (accounts, services, routes, keys)
+    return {f"{n}0.toml": text.encode() for n, text in enumerate(parts, 1)}
+
+
+@functools.cache
+def _configuration() -> config_model.Configuration:
+    return folder.merge(files()).configuration()
+
+
+def _merge() -> Callable[[], object]:
+    files()
+
+    def action() -> config_model.Configuration:
+        # The result stays cached for the benchmarks that need it.
+        _configuration.cache_clear()
+        return _configuration()
+
+    return action
+
+
+def _index() -> Callable[[], object]:
+    whole = _configuration()
+    return lambda: attrs.evolve(whole, revision=2)
+
+
+def _route_and_key() -> Callable[[], object]:
+    known = _configuration()
+    numbers = itertools.cycle(range(0, ROUTES, 7))
+
+    def action() -> None:
+        number = next(numbers)
+        path = f"/s{number % SERVICES}/r{number}/item/7?from=1"
+        assert known.route_for("GET", path) is not None
+        assert known.account_for(f"cf_k{number}_secret") is not None
+
+    return action
+
+
+def _begin() -> Callable[[], object]:
+    held = records.Records(0, 1, records.Memory(1 << 40))
+    digest = hashlib.sha256(b"body").digest()
+    numbers = itertools.count()
+
+    def action() -> object:
+        n = next(numbers)
+        return held.begin(
+            0.0, f"a{n % 128}", f"k{n}", digest, f"{n}", 30, False
+        )
+
+    return action
+
+
+def datagram() -> messages.Message:
+    """Returns an acknowledgement with one target and four broadcast ids."""
+    record = members.TargetRecord(
+        "i0001-t01", "svc-1", ("", 8001), 3, "i0001", 1, 2
+    )
+    return messages.Message(
+        "i0001", 1_700_000_000_000, 7, messages.Ack(), [record], (1, 2, 3, 4)
+    )
+
+
+def _gossip() -> Callable[[], object]:
+    message = datagram()
+    return lambda: gossip_codec.decode(gossip_codec.encode(message, 0.0), 0.0)
+
+
+def open_frame() -> peer_codec.Open:
+    """Returns the first frame of an ordinary request."""
+    headers = (
+        (b"Host", b"records"),
+        (b"User-Agent", b"bench"),
+        (b"Accept", b"*/*"),
+        (b"Accept-Encoding", b"gzip"),
+    )
+    head = model.RequestHead("GET", "/s1/r1/item/7?from=1", headers)
+    return peer_codec.Open(
+        7,
+        exchange.OpenRequest(
+            head,
+            "a1",
+            "svc-1",
+            "i0001-t01",
+            30.0,
+            True,
+            "00-" + "1" * 32 + "-" + "2" * 16 + "-01",
+            fingerprint=b"f" * 32,
+        ),
+    )
+
+
+def _frame() -> Callable[[], object]:
+    frame = open_frame()
+    return lambda: peer_codec.decode(peer_codec.encode(frame))
+
+
+# The shares of the decisions of one request add up to 6% of a core for the
+# entry and the agent together; the rest of a core is for sockets and HTTP.
+TIMED = (
+    # 2% of a core over 224 requests/s: 89 us each.
+    Timed("choice: 15,000 targets, 880 services", _pick_fleet, REQUESTS, 0.02),
+    Timed("choice: 17 targets of one service", _pick_service, REQUESTS, 0.02),
+    # 1% over 1.4 changes/s: 7 ms each.
+    Timed(
+        "choice after a change in the fleet",
+        _pick_after_change,
+        FLEET_CHANGES,
+        0.01,
+    ),
+    # 1% over 224 requests/s beside targets: 45 us each.
+    Timed(
+        "fair queue: finish and submit, 8 accounts",
+        functools.partial(_queue, 8),
+        REQUESTS,
+        0.01,
+    ),
+    # 0.5% over 224 requests/s at the entry: 22 us each.
+    Timed("admission from held credit", _admission, REQUESTS, 0.005),
+    # 1% over 224 outcomes/s beside targets: 45 us each.
+    Timed("detector: start and outcome", _outcome, REQUESTS, 0.01),
+    # 1% over 120 verdicts/s: 83 us each.
+    Timed("detector: verdict", _verdict, VERDICTS, 0.01),
+    # The operator's command, once per change. A change must be in force
+    # within 17 s; merge and check get 4 s of that: 12.5% of the 32 s between
+    # two changes.
+    Timed(
+        "merge and check of a configuration",
+        _merge,
+        CONFIG_CHANGES,
+        0.125,
+        slow=True,
+    ),
+    # 0.5% of a core over one change every 32 s: 160 ms on each instance.
+    Timed(
+        "index of a new configuration", _index, CONFIG_CHANGES, 0.005, slow=True
+    ),
+    # 0.5% over 224 requests/s at the entry: 22 us each.
+    Timed("route lookup and key check", _route_and_key, REQUESTS, 0.005),
+    # 0.5% over 12 datagrams/s: 417 us for one sent and one received.
+    Timed("gossip datagram: encode and decode", _gossip, DATAGRAMS, 0.005),
+    # 1% over 224 frames/s sent by the entry and as many received by the agent.
+    Timed("open frame: encode and decode", _frame, REQUESTS, 0.01),
+    # 2% over 604 begins/s of an owner: 33 us each.
+    Timed("begin of an idempotency record", _begin, BEGINS, 0.02),
+)
+
+
+def _paths_per_pick() -> float:
+    """Counts how many targets a choice looks at in the largest services."""
+    view = subset_view.SubsetView("i0000", Directory())
+    calls = itertools.count()
+
+    def usable(now: float, instance: str) -> bool:
+        next(calls)
+        return True
+
+    chooser = picker.Picker(random.Random(SEED), view.targets, usable)
+    for number in range(SERVICES):
+        chooser.pick(f"svc-{number}", frozenset(), 0.0)
+    return next(calls) / SERVICES
+
+
+def _record_bytes() -> float:
+    """Returns the memory of a begun record."""
+    held = records.Records(0, 1, records.Memory(1 << 40))
+    count = 10_000
+    tracemalloc.start()
+    try:
+        for n in range(count):
+            digest = hashlib.sha256(str(n).encode()).digest()
+            held.begin(
+                0.0, f"a{n % 128}", f"key-{n}", digest, f"{n}", 30, False
+            )
+        return tracemalloc.get_traced_memory()[0] / count
+    finally:
+        tracemalloc.stop()
+
+
+def _full_datagram() -> float:
+    """Returns the bytes of an announcement of one instance's 12 targets."""
+    record = datagram().carried[0]
+    assert isinstance(record, members.TargetRecord)
+    carried = [
+        attrs.evolve(record, id=f"i0001-t{n:02d}", service=f"svc-{n}")
+        for n in range(gossip_fleet.TARGETS)
+    ]
+    message = attrs.evolve(datagram(), carried=carried)
+    return len(gossip_codec.encode(message, 0.0))
+
+
+COUNTED = (
+    # An entry uses at most 16 targets of a service, whatever the fleet's size.
+    Counted(
+        "targets looked at per choice",
+        "calls",
+        _paths_per_pick,
+        subset.MAX_TARGETS,
+    ),
+    # The announcement of all targets of an instance fits into one datagram.
+    Counted("datagram with 12 targets", "bytes", _full_datagram, 1400),
+    # The bound on memory for records counts this much for each.
+    Counted(
+        "memory of a begun record",
+        "bytes",
+        _record_bytes,
+        records.RECORD_OVERHEAD_BYTES,
+    ),
+)
--- /dev/null
+++ b/tests/bench/test_hot.py
@@ -0,0 +1,40 @@
+"""Tests that the hot decisions stay within their bounds."""
+
+import contextlib
+import io
+import unittest
+from unittest import mock
+
+from bench import hot, hot_cases
+
+
+class HotTest(unittest.TestCase):
+    """Guards against decisions whose cost grows beyond the target size."""
+
+    def test_bounds(self):
+        for result in hot.run(quick=True):
+            with self.subTest(result.name):
+                self.assertLessEqual(result.figure, result.bound, result)
+
+    def test_slow_decision_is_seen(self):
+        """Guards against bounds that nothing can exceed."""
+        # 10 loops at 224 requests/s are 2.2 cores, far above 1%.
+        slow = hot_cases.Timed(
+            "planted",
+            lambda: lambda: [hot.reference_loop() for _ in range(10)],
+            hot_cases.REQUESTS,
+            0.01,
+        )
+        large = hot_cases.Counted("planted", "bytes", lambda: 1401, 1400)
+        for timed, counted in (((slow,), ()), ((), (large,))):
+            with (
+                mock.patch.object(hot_cases, "TIMED", timed),
+                mock.patch.object(hot_cases, "COUNTED", counted),
+                contextlib.redirect_stdout(io.StringIO()) as shown,
+            ):
+                self.assertEqual(hot.main(["--quick"]), 1)
+            self.assertIn("EXCEEDED", shown.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
