Tell operators' addresses to the fleet and split the views from the assembly

Change: gossip's instance record carries the operators' address; daemon.views reads what operators see; the demo's gray step runs 120 reads/s after a warm-up of 10 s, because cold targets do not count as healthy capacity.

--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -14,7 +14,14 @@
 from cicadafront.agent import targets as agent_targets
 from cicadafront.config import current, sync
 from cicadafront.config import model as config_model
-from cicadafront.daemon import counted, measures, options, root, supervisor
+from cicadafront.daemon import (
+    counted,
+    measures,
+    options,
+    root,
+    supervisor,
+    views,
+)
 from cicadafront.health import crashes, permit_owner, probe
 from cicadafront.health import service as health_service
 from cicadafront.limits import assembly as limits_assembly
@@ -142,6 +149,7 @@
             chosen.data_centre,
             chosen.peer,
             chosen.gossip,
+            operators_address=chosen.operators,
         )
         self.gossip = gossip.Gossip(me, self.rng, now, chosen.seeds)
         self.registry = announce.TargetRegistry(self.gossip, now)
@@ -314,83 +322,10 @@
         return self.held.configuration if self.held.revision else None
 
     def _operators_site(self) -> server.Site:
-        views = operators.Views(
-            ready=self._not_ready,
-            status=self._status,
-            instances=self._instances,
-            targets=self._targets,
-            accounts=self._accounts,
+        seen = views.DaemonViews(self)
+        served = operators.OperatorEndpoints(
+            seen.views(), self.metrics, self.tracer
         )
-        served = operators.OperatorEndpoints(views, self.metrics, self.tracer)
         announcing = announce_http.resource(self.registry, self.reactor.seconds)
         combined = OperatorResource(served.resource(), announcing)
         return server.Site(combined)
-
-    # What operators see.
-
-    def _not_ready(self) -> str:
-        if not self.held.revision:
-            return "no configuration yet"
-        if not self.limits.settled():
-            return "some shards have no owner yet"
-        if not self.sync.confirmed(self.reactor.seconds()):
-            return "the configuration cannot be confirmed"
-        return ""
-
-    def _status(self) -> operators.Json:
-        now = self.reactor.seconds()
-        away = self.sync.store_away_since
-        return {
-            "instance": self.settings.instance,
-            "data_centre": self.settings.data_centre,
-            "revision": self.held.revision,
-            "digest": self.held.digest,
-            "ready": not self._not_ready(),
-            "store_away_seconds": None if away is None else round(now - away),
-            "up_seconds": round(time.time() - self.started),
-        }
-
-    def _instances(self) -> list[operators.Json]:
-        return [
-            {
-                "id": info.id,
-                "data_centre": info.data_centre,
-                "incarnation": info.incarnation,
-                "alive": info.alive,
-                "leaving": info.leaving,
-            }
-            for info in self.directory.instances()
-        ]
-
-    def _targets(self) -> list[operators.Json]:
-        services = self.held.configuration.services
-        return [
-            {
-                "id": target.id,
-                "service": target.service,
-                "instance": target.instance,
-                "state": target.state.value,
-                "slots": target.slots,
-                "weight": target.weight,
-            }
-            for service in sorted(services)
-            for target in self.directory.targets(service)
-        ]
-
-    def _accounts(self) -> list[operators.Json]:
-        accounts = self.held.configuration.accounts
-        counts = self.admission
-        counts.forget(self.held.configuration)
-        return [
-            {
-                **attrs.asdict(accounts[id]),
-                "admitted": counts.admitted[id],
-                "refused": counts.refused[id],
-            }
-            for id in sorted(accounts)
-        ]
-
-
-def closing(assembly: FleetAssembly) -> "defer.Deferred[None]":
-    """Closes the connections to the store."""
-    return assembly.http_store.close()
--- a/src/cicadafront/emulator/demo.py
+++ b/src/cicadafront/emulator/demo.py
@@ -21,12 +21,14 @@
 
 from cicadafront import errors
 from cicadafront.config import apply, folder
-from cicadafront.emulator import callers, processes
+from cicadafront.emulator import callers, load, processes
 from cicadafront.store import client
 
 READY_SECONDS = 30.0
 POLL_SECONDS = 0.1
 UPLOAD_BYTES = 5_000_000
+# Targets are cold for 10 s and do not count as healthy capacity until then.
+WARM_SECONDS = 10.0
 
 
 @attrs.frozen
@@ -292,37 +294,43 @@
     async def gray_target(self) -> tuple[bool, str]:
         """Makes a target stall under load and waits for its ejection."""
         gray = f"{self.paths.read_service}-1"
+        generator = load.LoadGenerator(self._read_load(), self.reactor)
+        loading = defer.ensureDeferred(generator.run())
+        await self.pause(WARM_SECONDS)
+        before = self._counts(generator)
         await self.fault(gray, "stall")
         start = time.monotonic()
-        answers: list[callers.Answer] = []
 
         async def ejected() -> bool:
-            sends = [
-                defer.ensureDeferred(
-                    self.reader.send("GET", entry + self.paths.read)
-                )
-                for entry in self.entries * 2
-            ]
-            answers.extend(
-                answer
-                for answer in await defer.gatherResults(sends)
-                if not answer.good
-            )
             return await self.state_of(gray) == "ejected"
 
-        done = await self.until(ejected, 15.0)
+        done = await self.until(ejected, 3.0)
         seconds = time.monotonic() - start
-        after = [
-            await self.reader.send("GET", entry + self.paths.read)
-            for entry in self.entries * 5
-        ]
-        good = sum(answer.good for answer in after)
+        report = (await loading)[0]
         await self.fault(gray, "none")
+        good, sent = self._counts(generator)
         seen = (
-            f"ejected after {seconds:.1f} s, {len(answers)} failed before, "
-            f"{good} of {len(after)} whole after"
+            f"ejected after {seconds:.1f} s; {good - before[0]} of "
+            f"{sent - before[1]} whole since, p99 "
+            f"{report.as_json()['p99_ms']:.0f} ms"
+        )
+        return done and good == sent, seen
+
+    def _read_load(self) -> load.LoadOptions:
+        # 20 requests/s for each of the six targets.
+        reading = load.AccountLoad("reader", self.paths.reader, 120.0)
+        return load.LoadOptions(
+            entries=tuple(self.entries),
+            accounts=(reading,),
+            seconds=WARM_SECONDS + 6.0,
+            path=self.paths.read,
+            timeout=10.0,
+            seed=self.fleet.seed,
         )
-        return done and good == len(after), seen
+
+    def _counts(self, generator: load.LoadGenerator) -> tuple[int, int]:
+        report = generator.reports["reader"]
+        return report.codes["ok"], report.sent
 
     async def set_store(self, outage: bool) -> None:
         """Starts or ends an outage of the store."""
--- a/src/cicadafront/membership/codec.py
+++ b/src/cicadafront/membership/codec.py
@@ -63,7 +63,7 @@
 def _instance_fields(record: records.InstanceRecord) -> dict[str, object]:
     peer_host, peer_port = record.peer_address
     gossip_host, gossip_port = record.gossip_address
-    fields = {
+    fields: dict[str, object] = {
         "version": record.version,
         "liveness": int(record.liveness),
         "leaving": record.leaving,
@@ -74,6 +74,9 @@
     }
     if gossip_host != peer_host:
         fields["gossipHost"] = gossip_host
+    operators_host, fields["operatorsPort"] = record.operators_address
+    if operators_host != peer_host:
+        fields["operatorsHost"] = operators_host
     return fields
 
 
@@ -225,6 +228,12 @@
     return _SCHEMA.StateRequest.new_message(after=after).to_bytes_packed()
 
 
+def _operators_address(host: str, body) -> records.Address:
+    if not body.operatorsPort:
+        return "", 0
+    return body.operatorsHost or host, body.operatorsPort
+
+
 def _decode_instance(member, body) -> records.InstanceRecord:
     host = body.peerHost
     return records.InstanceRecord(
@@ -236,6 +245,7 @@
         (body.gossipHost or host, body.gossipPort),
         records.Liveness(body.liveness.raw),
         body.leaving,
+        _operators_address(host, body),
     )
 
 
--- a/src/cicadafront/membership/gossip.capnp
+++ b/src/cicadafront/membership/gossip.capnp
@@ -25,6 +25,9 @@
   # Empty when it equals the peer host.
   gossipHost @6 :Text;
   gossipPort @7 :UInt16;
+  # Empty when it equals the peer host.
+  operatorsHost @8 :Text;
+  operatorsPort @9 :UInt16;
 }
 
 struct Target {
--- a/src/cicadafront/membership/records.py
+++ b/src/cicadafront/membership/records.py
@@ -46,6 +46,7 @@
         gossip_address: Host and UDP port of its gossip socket.
         liveness: Judgement of others.
         leaving: Whether it is in a planned stop.
+        operators_address: Host and TCP port of its operators' endpoints.
     """
 
     id: str
@@ -56,6 +57,7 @@
     gossip_address: Address
     liveness: Liveness = Liveness.ALIVE
     leaving: bool = False
+    operators_address: Address = ("", 0)
 
     @property
     def state(self) -> InstanceState:
--- a/src/cicadafront/membership/view.py
+++ b/src/cicadafront/membership/view.py
@@ -32,6 +32,7 @@
         record.peer_address,
         record.liveness is not records.Liveness.DEAD,
         record.leaving,
+        record.operators_address,
     )
 
 
--- a/src/cicadafront/ports.py
+++ b/src/cicadafront/ports.py
@@ -25,6 +25,7 @@
         peer_address: Host and TCP port of its peer listener.
         alive: Whether it is believed to run.
         leaving: Whether it is in a planned stop.
+        operators_address: Host and TCP port of its operators' endpoints.
     """
 
     id: str
@@ -33,6 +34,7 @@
     peer_address: tuple[str, int]
     alive: bool = True
     leaving: bool = False
+    operators_address: tuple[str, int] = ("", 0)
 
 
 class Directory(Protocol):
