Let overtaken attempts run for a second, and report the pressing queue

Cause: with hedging, a stalled target was not ejected within 3 s: an overtaken attempt was cancelled 0.35 s after its start, so that three stalled requests added up to 8.1 of the 12 units of evidence that a verdict needs. Change: overtaken attempts may run for 1 s; slots report FairQueue.pressing().

--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -8,8 +8,10 @@
 from cicadafront.telemetry import tracing
 
 # An overtaken attempt may end by itself until this time after its start, so
-# that its agent still sees a slow (latency) or stalled (250 ms) target.
-OVERTAKEN_SECONDS = 0.35
+# that its agent still sees a slow or stalled target: a stalled request counts
+# again with each 250 ms, and at 0.35 s the three stalled requests that fill a
+# target's slots never added up to a verdict.
+OVERTAKEN_SECONDS = 1.0
 
 
 class Parent(Protocol):
--- a/src/cicadafront/routing/slots.py
+++ b/src/cicadafront/routing/slots.py
@@ -101,7 +101,7 @@
         alone = found.running is not None
         return exchange.Load(
             found.slots if alone else found.fair.in_use,
-            found.fair.queued + len(found.waiting),
+            found.fair.pressing() + len(found.waiting),
         )
 
     def tick(self) -> None:
