Check concurrent callers over real processes with faults

Cause: the history checker had no run over real processes in which instances, targets and the store fail while callers send and resend.

Targets write each run to the fleet's folder as it begins, so that killed ones leave their runs. An ERROR fault now records the digest of the answer that it sends.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 TESTS ?= tests
+SECONDS ?= 60
+SEEDS ?= 1 2 3 4
 
-.PHONY: test lint types unit format demo
+.PHONY: test lint types unit format demo soak
 
 test: lint types unit
 
@@ -28,3 +30,6 @@
 
 demo: .venv/installed
 	$(BIN)/python -m cicadafront.emulator.demo
+
+soak: .venv/installed
+	$(BIN)/python -m tests.system.soak --seconds $(SECONDS) $(SEEDS)
--- a/src/cicadafront/emulator/processes.py
+++ b/src/cicadafront/emulator/processes.py
@@ -252,10 +252,15 @@
             *("--slots", str(self.deployment.slots)),
             *("--seed", str(self.seed)),
             *("--announce", f"{url}/v1/targets"),
+            *("--run-log", str(self.run_log(target))),
         ]
         target.process = self.process(target.id, arguments)
         target.process.start()
 
+    def run_log(self, target: EmulatedTarget) -> pathlib.Path:
+        """File to which a target writes its runs; it outlives the target."""
+        return self.folder / f"{target.id}.runs"
+
     def start(self) -> None:
         """Starts all processes."""
         self.store.start()
--- a/src/cicadafront/emulator/target.py
+++ b/src/cicadafront/emulator/target.py
@@ -25,6 +25,7 @@
 CRASH_HEADER = b"x-emulator-crash"
 CRASH_EXIT_CODE = 70
 PIECE_BYTES = 64 * 1024
+ERROR_BODY = b'{"error": "internal"}'
 
 
 def _query(path: str) -> dict[str, str]:
@@ -130,7 +131,7 @@
             headers=sorted(name.decode() for name in headers),
         )
         state.keys_seen += b"authorization" in headers
-        state.runs.append(run)
+        state.begin(run)
         if CRASH_HEADER in headers:
             self.crash()
             return
@@ -172,13 +173,15 @@
         if "bytes" in query:
             # Pseudo-random, so that reordered pieces change the digest.
             body = random.Random(run.path).randbytes(int(query["bytes"]))
-        run.answer_digest = hashlib.sha256(body).hexdigest()
+        if fault is faults.Fault.ERROR:
+            body = ERROR_BODY
+        state.answered(run, hashlib.sha256(body).hexdigest())
         if self.request is None:
             return
         previous, state.last_answer = state.last_answer, body
         match fault:
             case faults.Fault.ERROR:
-                self.answer(500, b'{"error": "internal"}')
+                self.answer(500, body)
             case faults.Fault.CROSS:
                 self.answer(200, previous, request_id=b"crossed")
             case faults.Fault.GARBAGE:
@@ -259,6 +262,7 @@
     parser.add_argument("--service-time-ms", type=float, default=5.0)
     parser.add_argument("--cold-seconds", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--run-log", help="file that takes the runs")
     parser.add_argument("--announce", help="URL of the instance's targets")
     return parser.parse_args(arguments)
 
@@ -274,6 +278,8 @@
         cold_seconds=options.cold_seconds,
         draws=random.Random(options.seed),
     )
+    if options.run_log:
+        state.run_log = open(options.run_log, "ab", buffering=0)  # noqa: SIM115
     reactor: Any = default_reactor
     factory = TargetFactory(state, reactor)
     reactor.listenTCP(options.port, factory, interface=options.host)
--- a/src/cicadafront/emulator/target_state.py
+++ b/src/cicadafront/emulator/target_state.py
@@ -1,7 +1,9 @@
 """State of a stand-in target, and the paths that read and change it."""
 
 import json
+import os
 import random
+from typing import BinaryIO
 
 import attrs
 
@@ -26,6 +28,7 @@
         length: Length of the request body in bytes.
         answer_digest: SHA-256 of the answer's body, in hex.
         headers: Names of the request's headers.
+        number: Unique number of the run among all runs of the target.
     """
 
     method: str
@@ -38,6 +41,7 @@
     length: int = 0
     answer_digest: str = ""
     headers: list[str] = attrs.field(factory=list)
+    number: str = ""
 
 
 @attrs.define
@@ -57,6 +61,8 @@
         leaving: Whether it announces that it leaves.
         last_answer: Body of the previous answer, sent by crossed answers.
         keys_seen: Requests that carried an `Authorization` header.
+        run_log: Unbuffered file that takes each run as it begins and again
+            as it is answered, so that a killed target leaves its runs.
     """
 
     id: str
@@ -72,6 +78,24 @@
     leaving: bool = False
     last_answer: bytes = b'{"target": "nobody"}'
     keys_seen: int = 0
+    run_log: BinaryIO | None = None
+
+    def begin(self, run: Run) -> None:
+        """Notes a run at its start."""
+        run.number = f"{os.getpid()}-{len(self.runs)}"
+        self.runs.append(run)
+        self.write(run)
+
+    def answered(self, run: Run, digest: str) -> None:
+        """Notes the digest of the answer of a run."""
+        run.answer_digest = digest
+        self.write(run)
+
+    def write(self, run: Run) -> None:
+        """Writes a run to the log; a later line replaces an earlier one."""
+        if self.run_log is not None:
+            line = json.dumps(attrs.asdict(run)) + "\n"
+            self.run_log.write(line.encode())
 
     def delay(self, now: float, fault: faults.Fault) -> float:
         """Returns the service time of one request in seconds."""
--- a/src/cicadafront/health/probe.py
+++ b/src/cicadafront/health/probe.py
@@ -7,7 +7,10 @@
 
 from cicadafront.health import ejection
 
-_REQUEST = b"GET /health HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
+PATH = "/health"
+_REQUEST = (
+    f"GET {PATH} HTTP/1.1\r\nHost: probe\r\nConnection: close\r\n\r\n"
+).encode()
 # "HTTP/1.1 200"
 _STATUS_BYTES = 12
 
--- /dev/null
+++ b/tests/system/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a fleet of real processes with faults."""
