End open exchanges and idle connections of a withdrawn key

Change: on each new configuration the entry refuses the exchanges whose key or client account is gone, cuts answers that have begun and closes idle connections. A request with an idempotency record that a target may be running is completed without its caller, so that its outcome is recorded.

Conclusion: a withdrawn key ends what is open at every instance.

--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -280,6 +280,7 @@
             budget=retry_budgets.RetryBudgets(),
             picker=self.picker,
             configuration=self.configuration,
+            on_configuration=self.held.on_change,
             admission=self.limits.admission,
             records=self.limits.outcomes,
             hand_over=self.limits.stop,
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -33,6 +33,8 @@
         directory: Instances and targets.
         beside: Targets beside this instance.
         configuration: Returns the accepted configuration, or None.
+        on_configuration: Registers a function to call with each new
+            configuration.
         admission: Rates of client accounts.
         records: Idempotency records.
         confirmed: Whether keys can be trusted at the moment.
@@ -52,6 +54,9 @@
     directory: ports.Directory
     beside: targets.LocalTargets
     configuration: Callable[[], config_model.Configuration | None]
+    on_configuration: Callable[
+        [Callable[[config_model.Configuration], None]], None
+    ] = lambda _: None
     admission: ports.Admission = attrs.field(factory=local.OpenAdmission)
     records: ports.OutcomeRecords = attrs.field(factory=local.LocalRecords)
     confirmed: Callable[[], bool] = lambda: True
@@ -161,6 +166,14 @@
         )
         self._forwarder = forward.Forwarder(site)
         self._edge = server.Site(self._forwarder, self._reactor, self.counts)
+        fleet.on_configuration(self._check_keys)
+
+    def _check_keys(self, new: config_model.Configuration) -> None:
+        """Ends what callers with withdrawn keys have open here."""
+        self._forwarder.check_keys()
+        self._edge.close_withdrawn(
+            lambda token: new.account_for(token) is not None
+        )
 
     def _build_tree(self) -> None:
         self._peer_port = supervisor.Listener(
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -37,6 +37,11 @@
         started.start(head, token)
         return started
 
+    def check_keys(self) -> None:
+        """Ends the exchanges whose key or client account is gone."""
+        for exchange_ in list(self.running):
+            exchange_.check_key()
+
 
 class _Phase(enum.Enum):
     ADMITTING = "admitting"
@@ -68,6 +73,7 @@
         self._ticket: ports.Ticket | None = None
         self._copy: held.AnswerCopy | None = None
         self._unread = 0
+        self._token = ""
 
     # Before the first attempt.
 
@@ -78,6 +84,7 @@
         except errors.RequestError as error:
             self._conclude(error)
             return
+        self._token = token
         timeout = self._order.route.timeout
         self._deadline = self._site.clock.seconds() + timeout
         self._timer = self._site.clock.callLater(timeout, self._expire)
@@ -228,15 +235,42 @@
         """
         if self._phase is _Phase.DONE:
             return
-        if self._ticket is not None and self._body.complete:
-            self._caller = _Absent(self)
-            self.consumed(self._unread)
+        if self._goes_on():
+            self._leave_caller()
             return
         self._settle(errors.Executed.NO)
         self._finish()
 
+    def _goes_on(self) -> bool:
+        """Whether the request is completed without its caller."""
+        return self._ticket is not None and self._body.complete
+
+    def _leave_caller(self) -> None:
+        self._caller = _Absent(self)
+        self.consumed(self._unread)
+
     # Ends.
 
+    def check_key(self) -> None:
+        """Refuses the caller if its key or client account is gone.
+
+        A request with an idempotency record that a target may be running is
+        completed, so that its outcome is known to a valid key.
+        """
+        if self._phase is _Phase.DONE or self._order.account is None:
+            return
+        if order.still_valid(self._site, self._order, self._token):
+            return
+        self._site.counts["exchanges_withdrawn"] += 1
+        error = errors.KeyUnknownError("The key was withdrawn meanwhile.")
+        if self._goes_on():
+            answer = self._caller
+            self._leave_caller()
+            error.executed = errors.Executed.UNKNOWN
+            answer.fail(error, exchange.Load())
+        else:
+            self._conclude(error)
+
     def _expire(self) -> None:
         if self._attempts is None or not self._attempts.running:
             self._fail_late()
--- a/src/cicadafront/edge/order.py
+++ b/src/cicadafront/edge/order.py
@@ -57,6 +57,15 @@
     return Order(head, route, account, "" if route.repeatable else _key(head))
 
 
+def still_valid(site: parts.Parts, order: Order, token: str) -> bool:
+    """Whether the token still belongs to the client account of an order."""
+    configuration = site.configuration()
+    if configuration is None or order.account is None:
+        return True
+    account = configuration.account_for(token)
+    return account is not None and account.id == order.account.id
+
+
 def _account(
     site: parts.Parts, configuration: config_model.Configuration, token: str
 ) -> config_model.ClientAccount:
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -12,7 +12,7 @@
 from zope.interface import implementer
 
 from cicadafront import errors, model, tcp
-from cicadafront.edge import caller, framing, problem
+from cicadafront.edge import answers, caller, framing, problem
 from cicadafront.peer import exchange, flow
 
 HEAD_SECONDS = 10.0
@@ -61,65 +61,27 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-
-class _Answer:
-    """The one answer to one request; drops what comes after its end."""
-
-    def __init__(self, connection: "Connection", site: Site):
-        self._connection = connection
-        self._site = site
-        self.done = False
-        self.headed = False
-
-    def _stale(self, twice: bool = False) -> bool:
-        stale = self.done or twice
-        if stale:
-            self._site.counts["answers_dropped"] += 1
-        return stale
-
-    def wants_body(self) -> None:
-        if not self.done:
-            self._connection.wants_body()
-
-    def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
-        if self._stale(twice=self.headed):
-            return
-        self.headed = True
-        self._connection.answer_head(head)
-
-    def body(self, data: bytes) -> None:
-        if not self._stale():
-            self._connection.answer_body(data)
-
-    def end(self) -> None:
-        if not self._stale():
-            self.done = True
-            self._connection.answer_end()
-
-    def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
-        if self._stale():
-            return
-        self.done = True
-        if self.headed:
-            self._connection.abort()
-        else:
-            self._connection.answer_error(error)
-
-    def consumed(self, count: int) -> None:
-        if not self.done:
-            self._connection.body_consumed(count)
+    def close_withdrawn(self, valid: Callable[[str], bool]) -> None:
+        """Closes idle connections whose last key is no longer valid."""
+        for connection in list(self.connections):
+            if connection.token and not valid(connection.token):
+                connection.close_if_idle()
 
 
 @implementer(interfaces.IHalfCloseableProtocol)
 class Connection(protocol.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        token: Key of the last request, empty if it had none.
+    """
 
     transport: Any
 
     def __init__(self, site: Site):
         self._site = site
         self._http = h11.Connection(h11.SERVER, framing.MAX_HEAD_BYTES)
-        self._answer: _Answer | None = None
+        self._answer: answers.Answer | None = None
         self._request: exchange.RequestSink | None = None
         self._timer: Any = None
         self._idle = True
@@ -127,6 +89,7 @@
         self._processing = False
         self._ahead = 0
         self._method = b""
+        self.token = ""
 
     # Protocol.
 
@@ -212,7 +175,7 @@
         self._method = event.method
         self._source = flow.Source(self.transport)
         self._drain.restart(self._passed_on)
-        answer = _Answer(self, self._site)
+        answer = answers.Answer(self, self._site.counts)
         self._answer = answer
         try:
             head, token = framing.request_head(event)
@@ -220,6 +183,7 @@
             self._site.counts["heads_refused"] += 1
             answer.fail(error, exchange.Load())
             return
+        self.token = token
         request = self._site.handler.begin(head, token, answer)
         if not answer.done:
             self._request = request
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 from parameterized import parameterized
 from twisted.internet import defer, task
 
@@ -67,6 +68,56 @@
         return [request.target for _, request, _, _ in self.opener.opened]
 
 
+class WithdrawnKeyTest(unittest.TestCase):
+    """Guards against open exchanges that outlive their key."""
+
+    TOKEN = "cf_k1_secret"
+
+    def withdraw(self, entry):
+        """Puts a configuration without keys in force."""
+        entry.site.configuration = lambda: attrs.evolve(
+            memory.configuration(), keys={}
+        )
+        entry.forwarder.check_keys()
+
+    @parameterized.expand(
+        [
+            ("body not handed over", "key", b"x", False, "no", []),
+            ("at a target", "", b"x", True, "unknown", []),
+            ("at a target, with record", "key", b"x", True, "unknown", ["f"]),
+        ]
+    )
+    def test_refused(self, _name, key, body, end, executed, endings):
+        entry = Entry()
+        _, caller = entry.begin("/keyed", key, body, end, self.TOKEN)
+        self.withdraw(entry)
+        self.assertEqual(caller.events, [("key_unknown", executed)])
+        if endings:
+            entry.answer()
+            self.assertEqual(entry.records.endings, ["finish"])
+        self.assertEqual(entry.forwarder.running, set())
+
+    def test_download_is_cut(self):
+        entry = Entry()
+        _, caller = entry.begin("/keyed", token=self.TOKEN)
+        response = entry.opener.opened[-1][2]
+        response.head(model.ResponseHead(200, ()), exchange.Load(1, 0))
+        response.body(b"part")
+        self.withdraw(entry)
+        expected = [200, b"part", ("key_unknown", "unknown")]
+        self.assertEqual(caller.events, expected)
+        self.assertTrue(entry.opener.opened[-1][3].cancelled)
+
+    def test_valid_key_and_open_route_go_on(self):
+        entry = Entry()
+        _, keyed = entry.begin("/keyed", token=self.TOKEN)
+        _, without = entry.begin("/open")
+        entry.forwarder.check_keys()
+        self.assertEqual(keyed.events, [])
+        self.withdraw(entry)
+        self.assertEqual(without.events, [])
+
+
 class RetryTest(unittest.TestCase):
     """Guards against running a request twice, and against giving up early."""
 
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -11,7 +11,7 @@
 from cicadafront import errors, model
 from cicadafront.edge import server
 from cicadafront.peer import exchange
-from tests.support.edge import GET, Edge, problem
+from tests.support.edge import GET, KEYED, Edge, problem
 
 CLOSE_SECONDS = (
     server.HEAD_SECONDS
@@ -21,6 +21,18 @@
 )
 
 
+class WithdrawnKeyTest(unittest.TestCase):
+    """Guards against idle connections that outlive their key."""
+
+    @parameterized.expand([("withdrawn", False), ("valid", True)])
+    def test_idle_connection(self, _name, valid):
+        edge = Edge()
+        edge.receive(KEYED)
+        edge.answer(body=b"ok")
+        edge.site.close_withdrawn(lambda token: valid)
+        self.assertEqual(edge.transport.half_closed, not valid)
+
+
 class AnswerTest(unittest.TestCase):
     """Guards against answers that a caller reads with another length."""
 
