--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
 TESTS ?= tests
+SECONDS ?= 60
+SEEDS ?= 1 2 3 4
 
-.PHONY: test lint types unit format demo bench
+.PHONY: test lint types unit format demo bench measure soak
 
 test: lint types unit
 
@@ -31,3 +33,9 @@
 
 bench: .venv/installed
 	$(BIN)/python -m bench.hot
+
+measure: .venv/installed
+	$(BIN)/python -m bench.measure --seed 1
+
+soak: .venv/installed
+	$(BIN)/python -m tests.system.soak --seconds $(SECONDS) $(SEEDS)
--- a/src/cicadafront/cli/main.py
+++ b/src/cicadafront/cli/main.py
@@ -4,7 +4,7 @@
 
 from cleo import application
 
-from cicadafront.cli import config, fleet, keys
+from cicadafront.cli import config, fleet, keys, load
 
 COMMANDS = (
     config.CheckCommand,
@@ -20,6 +20,7 @@
     fleet.ShardReleaseCommand,
     keys.KeyCreateCommand,
     keys.KeyWithdrawCommand,
+    load.LoadCommand,
 )
 
 
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -308,6 +308,7 @@
             metrics=self.metrics,
             tracer=self.tracer,
             configuration=self.configuration,
+            on_configuration=self.held.on_change,
             admission=self.admission,
             records=self.records,
             hand_over=self.limits.stop,
