--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,8 +20,9 @@
 from cicadafront.config import model as config_model
 from cicadafront.emulator import fleet as limit_fleets
 from cicadafront.emulator import virtual
-from cicadafront.health import reference
+from cicadafront.health import reference, summaries
 from cicadafront.limits import admission, records, shards
+from cicadafront.peer import codec as peer_codec
 from tests.config import fleet as config_fleets
 from tests.peer import test_link
 
@@ -29,6 +30,7 @@
 SETTLE_SECONDS = 40.0
 COUNT_SECONDS = 30.0
 CREDIT_SECONDS = 20.0
+LENGTH_PREFIX_BYTES = 4
 
 
 def _routes(count: int) -> object:
@@ -186,7 +188,11 @@
 
 
 def summary_bytes(routes: int, _seed: int) -> Row:
-    """Returns the bytes of a target's summary for other agents."""
+    """Returns the bytes of a target's summary for other agents.
+
+    The call carries the summary to one agent and the reply brings another
+    back; both with length prefix, without TCP and IP headers.
+    """
     listed = tuple(
         reference.RouteSummary(reference.route_key(f"r{n}"), 64, 0.02, 0.05)
         for n in range(routes)
@@ -194,7 +200,14 @@
     made = reference.Summary(
         reference.target_key("t0"), (0.0,) * 4, 9, routes=listed
     )
-    return {"bytes": len(made.encode())}
+    body = summaries.encode("svc-100", None, [made])
+    call = peer_codec.encode(peer_codec.Call(1000, summaries.METHOD, body))
+    reply = peer_codec.encode(peer_codec.Reply(1000, "", body))
+    return {
+        "summary": len(made.encode()),
+        "call": len(call) + LENGTH_PREFIX_BYTES,
+        "reply": len(reply) + LENGTH_PREFIX_BYTES,
+    }
 
 
 COUNTS: dict[str, tuple[Callable[[int, int], Row], tuple[int, ...]]] = {
