--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -192,10 +192,12 @@
             lambda token: new.account_for(token) is not None
         )
 
-        fleet.metrics.total_by("events", "event", lambda: self.counts)
-        fleet.metrics.gauge("links_opened", lambda: len(self.calls))
-        fleet.metrics.gauge("links_accepted", lambda: len(self._peers.links))
-        fleet.metrics.gauge(
+        self._fleet.metrics.total_by("events", "event", lambda: self.counts)
+        self._fleet.metrics.gauge("links_opened", lambda: len(self.calls))
+        self._fleet.metrics.gauge(
+            "links_accepted", lambda: len(self._peers.links)
+        )
+        self._fleet.metrics.gauge(
             "running_exchanges", lambda: len(self.agent.running)
         )
 
