--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -142,6 +142,7 @@
             fleet.tracer,
         )
         self._build_edge()
+        self._build_metrics()
         self._build_tree()
 
     def _build_peer(self) -> None:
@@ -192,6 +193,7 @@
             lambda token: new.account_for(token) is not None
         )
 
+    def _build_metrics(self) -> None:
         self._fleet.metrics.total_by("events", "event", lambda: self.counts)
         self._fleet.metrics.gauge("links_opened", lambda: len(self.calls))
         self._fleet.metrics.gauge(
