Release shards cleanly when all instances stop

Cause: a stopping owner without a candidate to hand over to kept the shard, so the daemon waited its full 8 s and the next owner had to claim as an unproved third party. Every new idempotency key was then answered outcome_unknown for 24 h.

The shard counts as released only once the store holds that claim. The directed scene moved to scenes.py; the planted tests demand the same as before.

Conclusion: a restart of the whole fleet no longer stops keyed requests. A crash before the write and an open outage remain unclean, as before.

--- /dev/null
+++ b/bench/restart.py
@@ -0,0 +1,101 @@
+"""Measures a planned stop of all instances and their restart.
+
+The fleet runs on a virtual clock: 64 accounts begin requests with idempotency
+keys, all instances stop, start again as soon as they have stopped (after 8 s
+at most), and each account begins a new key and repeats an old one.
+
+Usage: python -m bench.restart --instances 3 --seed 1
+"""
+
+import argparse
+
+from cicadafront.config import model as config_model
+from cicadafront.emulator import fleet as fleets
+
+ACCOUNTS = tuple(
+    config_model.ClientAccount(f"account{number}", 100, 100)
+    for number in range(64)
+)
+# A daemon waits this long for the end of its hand-overs.
+HAND_OVER_SECONDS = 8.0
+WATCH_SECONDS = 30.0
+STEP_SECONDS = 0.01
+
+
+class Begins:
+    """Begins of one key for all accounts and their results."""
+
+    def __init__(self, fleet: fleets.Fleet, key: str):
+        self.began_at = fleet.world.clock.seconds()
+        self.started: list[float] = []
+        self.errors: list[str] = []
+        self._fleet = fleet
+        nodes = list(fleet.nodes.values())
+        for number, account in enumerate(ACCOUNTS):
+            self._begin(nodes[number % len(nodes)], account.id, key)
+
+    def _begin(self, node: fleets.Node, account: str, key: str) -> None:
+        def begun(_result) -> None:
+            now = self._fleet.world.clock.seconds()
+            self.started.append(now - self.began_at)
+
+        def refused(reason) -> None:
+            code = reason.value.code
+            if code == "record_owner_unavailable":
+                node.process.callLater(0.05, self._begin, node, account, key)
+            else:
+                self.errors.append(code)
+
+        node.process.run(
+            lambda: node.limits.outcomes.begin(
+                account, key, b"d", 20.0
+            ).addCallbacks(begun, refused)
+        )
+
+
+def stop(fleet: fleets.Fleet) -> tuple[float, int]:
+    """Stops all instances; returns the time taken and those that ended."""
+    began = fleet.world.clock.seconds()
+    ended: list[str] = []
+    for id, node in fleet.nodes.items():
+
+        def leave(id=id, node=node) -> None:
+            node.limits.stop().addCallback(lambda _: ended.append(id))
+
+        node.process.run(leave)
+    while len(ended) < len(fleet.nodes):
+        if fleet.world.clock.seconds() - began >= HAND_OVER_SECONDS:
+            break
+        fleet.advance(STEP_SECONDS)
+    return fleet.world.clock.seconds() - began, len(ended)
+
+
+def main() -> None:
+    """Runs the stop and restart and prints the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--instances", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    fleet = fleets.Fleet(options.seed, options.instances, 3, 0.0, ACCOUNTS)
+    fleet.advance(15)
+    before = Begins(fleet, "old")
+    fleet.advance(5)
+    took, ended = stop(fleet)
+    for id in list(fleet.nodes):
+        fleet.restart(id)
+    new, old = Begins(fleet, "new"), Begins(fleet, "old")
+    fleet.advance(WATCH_SECONDS)
+    print(f"instances {options.instances}, seed {options.seed}")
+    print(f"begun before the stop: {len(before.started)} of {len(ACCOUNTS)}")
+    print(f"stop: {took:.2f} s, {ended} instances ended by themselves")
+    print(f"new keys that run: {len(new.started)} of {len(ACCOUNTS)}")
+    if new.started:
+        new.started.sort()
+        middle = new.started[len(new.started) // 2]
+        print(f"  median {middle:.2f} s, last {new.started[-1]:.2f} s")
+    print(f"new keys refused: {sorted(set(new.errors))} {len(new.errors)}")
+    print(f"old keys: {len(old.started)} run, {len(old.errors)} refused")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cicadafront/limits/actions.py
+++ b/src/cicadafront/limits/actions.py
@@ -67,6 +67,13 @@
     to: str
 
 
+@attrs.frozen
+class Release:
+    """Stop acting for a shard that no other candidate takes over."""
+
+    shard: int
+
+
 @attrs.frozen
 class Acquired:
     """This process owns the shard now.
@@ -103,6 +110,7 @@
     | AskDeputy
     | Probe
     | HandOver
+    | Release
     | Acquired
     | Lost
 )
--- a/src/cicadafront/limits/claims.py
+++ b/src/cicadafront/limits/claims.py
@@ -45,6 +45,8 @@
         journals: Journal prefixes with the Unix time at which their writer
             lost the shard (0 for the present owner).
         released: Whether an operator vouches that no process acts.
+        stopped: Whether the owner has stopped acting for good, with all
+            begins in its journal; any candidate may then claim.
     """
 
     owner: Member
@@ -56,6 +58,7 @@
     unclean_at: float = 0.0
     journals: tuple[tuple[str, float], ...] = ()
     released: bool = False
+    stopped: bool = False
 
 
 def owner_key(shard: int) -> str:
--- a/src/cicadafront/limits/decisions.py
+++ b/src/cicadafront/limits/decisions.py
@@ -146,12 +146,22 @@
         if first is not None and first.id == fleet.me.id:
             return Takeover(Kind.FRESH, issue_from=now)
         return Takeover()
+    if state.claim.stopped:
+        return _after_stop(state, fleet)
     deputy = state.claim.deputy
     if deputy is not None and deputy.process == fleet.me.process:
         return _as_deputy(now, state, fleet)
     return _as_third_party(now, state, fleet)
 
 
+def _after_stop(state: Shard, fleet: Fleet) -> Takeover:
+    first = fleet.first(state.number)
+    if first is None or first.id != fleet.me.id:
+        return Takeover()
+    # The owner stopped acting before it wrote the claim that was read.
+    return Takeover(Kind.STOPPED, True, state.known_at + GRANT_TAIL_SECONDS)
+
+
 def _as_deputy(now: float, state: Shard, fleet: Fleet) -> Takeover:
     assert state.claim is not None
     owner = state.claim.owner
@@ -215,6 +225,55 @@
     return Pending(claim, plan.kind, plan.issue_from, plan.clean)
 
 
+def update(
+    now: float, state: Shard, fleet: Fleet, lease: str
+) -> Pending | None:
+    """Returns the write of a new deputy or lease, if either has changed."""
+    assert state.claim is not None
+    deputy = new_deputy(now, state, fleet)
+    if deputy is None and state.claim.lease == lease:
+        return None
+    claim = attrs.evolve(
+        state.claim,
+        lease=lease,
+        deputy=deputy or state.claim.deputy,
+        outage=state.outage,
+    )
+    return Pending(claim, Kind.UPDATE)
+
+
+def fence(now: float, state: Shard, lease: str) -> Pending:
+    """Returns the write after which a failed hand-over cannot succeed."""
+    assert state.claim is not None
+    claim = attrs.evolve(
+        state.claim,
+        lease=lease,
+        epoch=state.claim.epoch + 1,
+        outage=state.outage,
+    )
+    return Pending(claim, Kind.FENCE, now)
+
+
+def asks(
+    held: Iterable[Shard], me: claims.Member, lease: str | None, age: float
+) -> dict[claims.Member, list[shard.Ask]]:
+    """Returns the requests that are due to each deputy.
+
+    Args:
+        held: Shards of this process.
+        me: This process.
+        lease: Its live lease, if any.
+        age: Seconds since the store confirmed that lease.
+    """
+    result: dict[claims.Member, list[shard.Ask]] = {}
+    for state in held:
+        if state.needs_deputy(lease, age):
+            assert state.claim is not None and state.claim.deputy
+            ask = state.ask(me)
+            result.setdefault(state.claim.deputy, []).append(ask)
+    return result
+
+
 class Placement:
     """Notices shards that another candidate should own, one at a time."""
 
--- a/src/cicadafront/limits/journal.py
+++ b/src/cicadafront/limits/journal.py
@@ -69,6 +69,11 @@
         self._updated = -math.inf
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
 
+    @property
+    def complete(self) -> bool:
+        """Whether all entries are certainly in the store."""
+        return self.stored == self.appended
+
     def append(self, shard: int, key: bytes) -> int:
         """Adds an entry; it is stored once `stored` reaches the result."""
         self._queue.append(bytes([shard]) + key)
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -11,20 +11,20 @@
 import attrs
 
 from cicadafront import ports
-from cicadafront.limits import actions, claims, decisions, shards
+from cicadafront.limits import actions, claims, decisions, shard, shards
 from cicadafront.limits.lease import Lease
 from cicadafront.limits.schedule import BACKOFF_SECONDS, Schedule
 from cicadafront.limits.shard import Ask, Kind, Pending, Phase, Shard
 
-# The deputy is asked once the store's confirmation is this old: a renewal has
-# then failed or is late.
-ASK_AFTER_SECONDS = 2.0
 ASK_SECONDS = 1.0
 LEASE_LIST_SECONDS = 1.0
 READ_ALL_SECONDS = 60.0
 HANDOVER_SECONDS = 5.0
 # Claims in one tick; a fleet that starts would otherwise write all at once.
 CLAIMS_PER_TICK = 8
+# Releases sent by one call; a lone owner of all shards then needs 1.6 s at a
+# call each 50 ms, within the 8 s that a daemon waits.
+RELEASES_PER_CALL = 8
 
 
 class Ownership:
@@ -65,7 +65,7 @@
     def idle(self) -> bool:
         """Tells whether no shard without owner waits for this process."""
         for state in self.shards:
-            if state.claim is None:
+            if state.claim is None or state.claim.stopped:
                 first = self._fleet.first(state.number)
                 if first is None or first.id == self.me.id:
                     return False
@@ -88,7 +88,7 @@
     def owner(self, number: int) -> str | None:
         """Returns the instance that owns a shard as far as known."""
         claim = self.shards[number].claim
-        return claim.owner.id if claim is not None else None
+        return claim.owner.id if claim and not claim.stopped else None
 
     def directory_changed(
         self, now: float, instances: Iterable[ports.InstanceInfo]
@@ -195,32 +195,35 @@
 
     def freeze(self, now: float, number: int) -> bool:
         """Stops acting for a shard that is to be handed over."""
+        return self.shards[number].freeze(now)
+
+    def handover_failed(self, number: int) -> None:
+        """Takes that a hand-over was refused or had no answer."""
+        self.shards[number].refused = self.stopping
+
+    def release(self, now: float, number: int) -> bool:
+        """Stops acting for a shard for good; tells whether it has stopped."""
         state = self.shards[number]
-        if state.phase is Phase.FROZEN:
-            return True
-        if state.phase is not Phase.HOLDING or state.pending is not None:
-            return False
-        state.life.freeze()
-        state.frozen_at = now
-        state.outage_open = False
-        state.deputy_until = -math.inf
-        return True
+        state.releasing = self.stopping and state.freeze(now)
+        return state.releasing
+
+    def journaled(self, now: float) -> list[actions.Action]:
+        """Releases shards: all begins up to now are in the journal."""
+        result: list[actions.Action] = []
+        for state in self.shards:
+            write = state.release_write(now)
+            if write is not None and len(result) < RELEASES_PER_CALL:
+                result += self._write(state, write)
+        return result
 
     def settle(self, now: float, number: int) -> int | None:
         """Ends an outage: further begins must be in the journal.
 
         Returns its number for `settled`, once all begins are journaled.
         """
-        state = self.shards[number]
-        if not self._store_confirmed(now) or state.pending is not None:
-            return None
-        if state.phase is not Phase.HOLDING or state.claim is None:
-            return None
-        if state.claim.lease != self.lease.id or state.settled:
+        if not self._store_confirmed(now):
             return None
-        state.outage_open = False
-        state.deputy_until = -math.inf
-        return state.outage
+        return self.shards[number].settle(self.lease.id)
 
     def settled(
         self, now: float, number: int, outage: int
@@ -273,6 +276,9 @@
     def _won(self, state: Shard, write: Pending) -> list[actions.Action]:
         if write.kind is Kind.UPDATE:
             return []
+        if write.kind is Kind.RELEASE:
+            state.life.lost()
+            return [actions.Lost(state.number)]
         state.life.won()
         state.begin_epoch(write.kind)
         claim = write.claim
@@ -285,7 +291,7 @@
         ]
 
     def _store_confirmed(self, now: float) -> bool:
-        return self.lease.age(now) < ASK_AFTER_SECONDS
+        return self.lease.age(now) < shard.ASK_AFTER_SECONDS
 
     def _may_claim(self, now: float) -> bool:
         return self._store_confirmed(now) and not self.stopping
@@ -338,37 +344,27 @@
             target = self._fleet.first(state.number, [self.me.id])
             if target is not None:
                 return [actions.HandOver(state.number, target.id)]
+            if self.stopping:
+                return [actions.Release(state.number)]
         assert state.claim is not None and self.lease.id is not None
-        claim = state.claim
-        deputy = decisions.new_deputy(now, state, self._fleet)
-        if deputy is None and claim.lease == self.lease.id:
-            return []
-        claim = attrs.evolve(
-            state.claim,
-            lease=self.lease.id,
-            deputy=deputy or claim.deputy,
-            outage=state.outage,
-        )
-        return self._write(state, Pending(claim, Kind.UPDATE))
+        write = decisions.update(now, state, self._fleet, self.lease.id)
+        return self._write(state, write) if write is not None else []
 
     def _thaw(self, now: float, state: Shard) -> list[actions.Action]:
+        if state.releasing:
+            return []
+        if self.stopping and state.refused:
+            return [actions.Release(state.number)]
         if now < state.frozen_at + HANDOVER_SECONDS:
             return []
         if self.stopping:
-            state.frozen_at = now
-            target = self._fleet.first(state.number, [self.me.id])
-            return [actions.HandOver(state.number, target.id)] if target else []
+            return [actions.Release(state.number)]
         if not self._store_confirmed(now):
             return []
         assert state.claim is not None and self.lease.id is not None
         self._placement.forget(state.number)
-        claim = attrs.evolve(
-            state.claim,
-            lease=self.lease.id,
-            epoch=state.claim.epoch + 1,
-            outage=state.outage,
-        )
-        return self._write(state, Pending(claim, Kind.FENCE, now))
+        write = decisions.fence(now, state, self.lease.id)
+        return self._write(state, write)
 
     def _write(self, state: Shard, write: Pending) -> list[actions.Action]:
         write.in_flight = True
@@ -385,12 +381,9 @@
         return self._write(state, write)
 
     def _ask_deputies(self, now: float) -> list[actions.Action]:
-        asks: dict[claims.Member, list[Ask]] = {}
-        for state in self.shards:
-            if self._needs_deputy(now, state):
-                ask = state.ask(self.me)
-                assert state.claim is not None and state.claim.deputy
-                asks.setdefault(state.claim.deputy, []).append(ask)
+        asks = decisions.asks(
+            self.shards, self.me, self.lease.id, self.lease.age(now)
+        )
         if not asks or not self.schedule.begin(now, "ask"):
             return []
         self.schedule.done("ask", now + ASK_SECONDS)
@@ -398,11 +391,3 @@
             actions.AskDeputy(deputy, tuple(each))
             for deputy, each in asks.items()
         ]
-
-    def _needs_deputy(self, now: float, state: Shard) -> bool:
-        if state.phase is not Phase.HOLDING or state.claim is None:
-            return False
-        if state.claim.deputy is None or state.changes_deputy:
-            return False
-        own = state.claim.lease == self.lease.id
-        return not own or self.lease.age(now) > ASK_AFTER_SECONDS
--- a/src/cicadafront/limits/records_service.py
+++ b/src/cicadafront/limits/records_service.py
@@ -325,6 +325,9 @@
             self._store.delete(key).addErrback(calls.ignore)
         self._progress()
         self._settle(now)
+        if self.journal.complete:
+            core = self._ownership.core
+            self._ownership.run(core.journaled(now))
 
     @defer.inlineCallbacks
     def _write(self, write: journal.Write):
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -93,7 +93,7 @@
         self._timer.callLater(self._rng.uniform(0, TICK_SECONDS), self._tick)
 
     def stop(self) -> "defer.Deferred[None]":
-        """Hands over all shards; fires once none is held."""
+        """Hands over or releases all shards; fires once none is held."""
         self.core.stopping = True
         stopped = self._stopped = defer.Deferred()
         return stopped
@@ -136,6 +136,8 @@
                     self._probe(member)
                 case actions.HandOver(shard, to):
                     self._hand_over(shard, to)
+                case actions.Release(shard):
+                    self._release(shard)
                 case actions.Acquired():
                     self._acquired(action)
                 case actions.Lost(shard):
@@ -299,6 +301,14 @@
             own = state.get(part.name) if state is not None else None
             part.acquired(event, own)
 
+    def _release(self, shard: int) -> None:
+        if not self.core.release(self._timer.seconds(), shard):
+            return
+        _log("Releases the shard: no candidate takes it over.", shard=shard)
+        # Drops begins that wait; the claim is written by `journaled`.
+        for part in self.parts:
+            part.lost(shard)
+
     @defer.inlineCallbacks
     def _hand_over(self, shard: int, to: str):
         if shard in self._handing:
@@ -310,6 +320,7 @@
             yield self._send_state(shard, to)
         except (errors.CicadafrontError, defer.TimeoutError):
             _log("The hand-over failed.", shard=shard, to=to)
+            self.core.handover_failed(shard)
         finally:
             self._handing.discard(shard)
 
@@ -341,7 +352,9 @@
                 HANDOVER_SECONDS,
             )
         reply = calls.unpack(answer)
-        if reply["claim"] is not None:
+        if reply["claim"] is None:
+            self.core.handover_failed(shard)
+        else:
             claim = claims.decode(reply["claim"].encode())
             self.run(
                 self.core.told(
--- a/src/cicadafront/limits/shard.py
+++ b/src/cicadafront/limits/shard.py
@@ -17,6 +17,9 @@
 CONFIRMED_SECONDS = 4.0
 # A deputy neither claims nor acts this long after its last promise.
 PROMISE_SECONDS = 5.0
+# The deputy is asked once the store's confirmation is this old: a renewal has
+# then failed or is late.
+ASK_AFTER_SECONDS = 2.0
 # Longest time on promises alone; others may claim after CERTAIN_SECONDS.
 DEPUTY_ONLY_SECONDS = 11 * 3600.0
 CERTAIN_SECONDS = 12 * 3600.0
@@ -83,6 +86,8 @@
     THIRD_PARTY = "third party"
     HANDOVER = "handover"
     FENCE = "fence"
+    STOPPED = "stopped"
+    RELEASE = "release"
     UPDATE = "update"
 
 
@@ -124,6 +129,9 @@
         outage: Number of the last outage in this epoch.
         outage_open: Whether begins may be kept in memory only.
         frozen_at: Time at which the hand-over began.
+        refused: Whether a hand-over of a stopping process has failed.
+        releasing: Whether the shard is released once its begins are in the
+            journal; this process never acts for it again.
     """
 
     number: int
@@ -140,6 +148,8 @@
     outage: int = 0
     outage_open: bool = False
     frozen_at: float = -math.inf
+    refused: bool = False
+    releasing: bool = False
     _stage: _Stage = attrs.field(factory=_Stage, init=False)
     life: Life = attrs.field(init=False)
 
@@ -193,9 +203,63 @@
         assert self.claim is not None
         if kind is not Kind.FENCE:
             self.outage = self.claim.outage
+        self.refused = self.releasing = False
+        self.end_outage()
+
+    def needs_deputy(self, lease: str | None, age: float) -> bool:
+        """Tells whether to ask the deputy for confirmation.
+
+        Args:
+            lease: Live lease of this process, if any.
+            age: Seconds since the store confirmed that lease.
+        """
+        if self.phase is not Phase.HOLDING or self.claim is None:
+            return False
+        if self.claim.deputy is None or self.changes_deputy:
+            return False
+        return self.claim.lease != lease or age > ASK_AFTER_SECONDS
+
+    def freeze(self, now: float) -> bool:
+        """Stops acting; tells whether the shard is frozen now."""
+        if self.phase is Phase.FROZEN:
+            return True
+        if self.phase is not Phase.HOLDING or self.pending is not None:
+            return False
+        self.life.freeze()
+        self.frozen_at = now
+        self.end_outage()
+        return True
+
+    def end_outage(self) -> None:
+        """Ends an outage: further begins must be in the journal."""
         self.outage_open = False
         self.deputy_until = -math.inf
 
+    def settle(self, lease: str | None) -> int | None:
+        """Ends an outage; returns its number if it is not settled yet."""
+        if self.pending is not None or self.phase is not Phase.HOLDING:
+            return None
+        if self.claim is None or self.claim.lease != lease or self.settled:
+            return None
+        self.end_outage()
+        return self.outage
+
+    def release_write(self, now: float) -> Pending | None:
+        """Returns the write that releases the shard, if it is due.
+
+        All begins of this process must be in its journal.
+        """
+        if not self.releasing or not self.held or self.pending is not None:
+            return None
+        assert self.claim is not None
+        claim = attrs.evolve(
+            self.claim,
+            outage=self.outage,
+            settled=max(self.outage, self.claim.settled),
+            stopped=True,
+        )
+        return Pending(claim, Kind.RELEASE, now)
+
     def ask(self, me: claims.Member) -> "Ask":
         """Returns the request to the deputy; opens an outage."""
         assert self.claim is not None and self.claim.deputy is not None
--- a/tests/limits/test_faults.py
+++ b/tests/limits/test_faults.py
@@ -4,14 +4,11 @@
 shows that the check and the scenario can find the fault.
 """
 
-import contextlib
 import unittest
 from unittest import mock
 
 from parameterized import parameterized
 
-from cicadafront.config import model as config_model
-from cicadafront.emulator import fleet as fleets
 from cicadafront.emulator import virtual
 from cicadafront.limits import (
     decisions,
@@ -21,34 +18,8 @@
     shard,
     shards,
 )
-from tests.limits import checks
-
-ACCOUNT = config_model.ClientAccount("amani", 10, 40)
-
-
-class Scene:
-    """A fleet of six with one shard and its present owner."""
-
-    def __init__(self, seed: int):
-        self.fleet = fleets.Fleet(seed, 6, 3, 0.0, (ACCOUNT,))
-        self.watched = checks.Watched(self.fleet)
-        self.watched.advance(6)
-        self.owner = self.fleet.nodes[self.fleet.acting(0)[0]]
-        claim = self.owner.limits.ownership.core.shards[0].claim
-        self.deputy = self.fleet.nodes[claim.deputy.id]
-        pair = (self.owner, self.deputy)
-        self.others = [
-            node for node in self.fleet.nodes.values() if node not in pair
-        ]
-
-    def cut_from_store(self, *nodes: fleets.Node) -> None:
-        """Lets nothing pass between nodes and the store."""
-        for node in nodes:
-            id = node.process.info.id
-            self.fleet.world.blocked |= {
-                (id, virtual.STORE),
-                (virtual.STORE, id),
-            }
+from tests.limits import checks, scenes, stops
+from tests.limits.scenes import Scene
 
 
 def owner_without_store(scene: Scene) -> None:
@@ -88,10 +59,7 @@
 
 def crash_with_credit_out(scene: Scene) -> None:
     """An owner crashes while all instances hold credit."""
-    for _ in range(12):
-        for node in scene.others:
-            scene.watched.admit(node, "amani")
-        scene.watched.advance(0.5)
+    scene.spread(12, 0.5)
     scene.watched.advance(1.0)
     for node in scene.others:
         for _ in range(10):
@@ -131,11 +99,7 @@
 
 def crash_after_outage(scene: Scene) -> None:
     """An owner kept a begin in memory only and then crashed."""
-    scene.cut_from_store(scene.owner)
-    scene.watched.advance(8)
-    scene.watched.begin(scene.others[0], "amani", "k")
-    scene.watched.advance(6)
-    assert scene.watched.runs, scene.watched.errors
+    scene.begin_in_memory()
     scene.owner.process.crash()
     scene.watched.advance(10)
     scene.watched.begin(scene.others[1], "amani", "k")
@@ -234,20 +198,14 @@
 class PlantTest(unittest.TestCase):
     """Guards against two owners, excess admissions and double starts."""
 
-    @parameterized.expand(PLANTS)
+    @parameterized.expand([*PLANTS, *stops.PLANTS])
     def test_rules_hold(self, _name, scenario, _plant):
-        with mock.patch.object(shards, "SHARDS", 1):
-            for seed in range(3):
-                scenario(Scene(seed))
+        scenes.run(scenario)
 
-    @parameterized.expand(PLANTS)
+    @parameterized.expand([*PLANTS, *stops.PLANTS])
     def test_plant_is_found(self, _name, scenario, plant):
-        with contextlib.ExitStack() as stack:
-            stack.enter_context(mock.patch.object(shards, "SHARDS", 1))
-            stack.enter_context(mock.patch.object(*plant))
-            stack.enter_context(self.assertRaises(checks.ViolationError))
-            for seed in range(3):
-                scenario(Scene(seed))
+        with mock.patch.object(*plant):
+            self.assertRaises(checks.ViolationError, scenes.run, scenario)
 
 
 class TakeoverTest(unittest.TestCase):
--- a/tests/limits/test_machine.py
+++ b/tests/limits/test_machine.py
@@ -120,6 +120,41 @@
         node.process.run(node.limits.stop)
         self.watched.advance(1)
 
+    @stateful.rule(
+        cut=st.booleans(),
+        whole=st.booleans(),
+        loss=st.sampled_from([0.0, 0.3]),
+        seconds=st.sampled_from([0.1, 0.3, 0.6, 1, 3, 8]),
+        account=NAMES,
+        key=st.sampled_from("vwx"),
+    )
+    def stop_all(self, cut, whole, loss, seconds, account, key):
+        """All instances stop as planned; all or one owner start again.
+
+        The owner may have kept begins in memory, and stops may be cut short.
+        """
+        self.heal()
+        role = f"owner{shards.shard_of(account)}"
+        owner = self.place(role)
+        if cut:
+            self.cut_from_store(role, True)
+            self.watched.advance(9)
+        for node in self.fleet.nodes.values():
+            self.watched.begin(node, account, key)
+        self.spread(account)
+        self.fleet.heal()
+        self.fleet.world.loss = loss
+        for node in self.fleet.nodes.values():
+            node.process.run(node.limits.stop)
+        self.watched.advance(seconds)
+        self.fleet.world.loss = 0.0
+        for id in list(self.fleet.nodes) if whole else [owner]:
+            self.fleet.restart(id)
+        self.spread(account)
+        for node in self.fleet.nodes.values():
+            self.watched.begin(node, account, key)
+        self.spread(account)
+
     @stateful.rule(at=NODES)
     def pause(self, at):
         self.node(at).process.pause()
--- /dev/null
+++ b/tests/limits/test_stop.py
@@ -0,0 +1,83 @@
+"""Planned stops of all instances at once, and their restart.
+
+`test_faults` runs the faults of `stops` with and without their plants.
+"""
+
+import unittest
+from unittest import mock
+
+from cicadafront.emulator import fleet as fleets
+from cicadafront.limits import shards
+from tests.limits import checks
+from tests.limits.scenes import ACCOUNT, Scene
+from tests.limits.stops import (
+    HAND_OVER_SECONDS,
+    SEEDS,
+    begin_again,
+    claim_of,
+    restart_all,
+    stop_all,
+)
+
+
+class StopTest(unittest.TestCase):
+    """Guards against stops that never end and unsafe or lost releases."""
+
+    def setUp(self):
+        patch = mock.patch.object(shards, "SHARDS", 1)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_crash_before_the_release_is_unclean(self):
+        for seed in range(SEEDS):
+            scene = Scene(seed)
+            scene.watched.begin(scene.others[0], "amani", "k")
+            scene.watched.advance(1)
+            stop_all(scene.fleet)
+            scene.cut_from_store(*scene.fleet.nodes.values())
+            scene.watched.advance(HAND_OVER_SECONDS)
+            self.assertFalse(claim_of(scene).stopped)
+            restart_all(scene)
+            scene.fleet.heal()
+            scene.watched.advance(12)
+            begin_again(scene)
+            self.assertEqual(
+                sorted(scene.watched.errors),
+                [("k", "outcome_unknown"), ("new", "outcome_unknown")],
+            )
+
+    def test_stop_in_an_outage_is_not_clean(self):
+        """Begins that only memory holds must not be forgotten."""
+        for seed in range(SEEDS):
+            scene = Scene(seed)
+            scene.begin_in_memory()
+            stopped = stop_all(scene.fleet)
+            scene.watched.advance(HAND_OVER_SECONDS)
+            self.assertNotIn(scene.owner.process.info.id, stopped)
+            self.assertFalse(claim_of(scene).stopped)
+            restart_all(scene)
+            scene.fleet.heal()
+            scene.watched.advance(12)
+            begin_again(scene)
+            self.assertIn(("k", "outcome_unknown"), scene.watched.errors)
+
+    def test_lone_instance_releases(self):
+        fleet = fleets.Fleet(1, 1, 1, 0.0, (ACCOUNT,))
+        watched = checks.Watched(fleet)
+        watched.advance(6)
+        watched.begin(fleet.nodes["i0"], "amani", "k")
+        watched.advance(1)
+        stopped = stop_all(fleet)
+        watched.advance(HAND_OVER_SECONDS)
+        self.assertEqual(stopped, ["i0"])
+        fleet.restart("i0")
+        watched.advance(4)
+        watched.begin(fleet.nodes["i0"], "amani", "k")
+        watched.begin(fleet.nodes["i0"], "amani", "new")
+        watched.advance(3)
+        self.assertEqual(watched.errors, [("k", "outcome_unknown")])
+        self.assertEqual(len(watched.runs), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
