Let operators release lost shards and clear unclean ones

Cause: `cicadafront shard release` called a path that no instance served, so a shard whose owner and deputy were lost with their hosts stayed without owner for 12 h, and an unclean shard refused new idempotency keys for 24 h.

An owner that reaches the store withdraws a release, which would else stay in the claim and allow an unproved claim at a later outage.

Conclusion: an operator can end both states without editing the store.

--- a/src/cicadafront/cli/fleet.py
+++ b/src/cicadafront/cli/fleet.py
@@ -280,29 +280,37 @@
     help = base.helped("shard release 17 --yes") + (
         "\n\nRelease a shard only when the processes of its owner and its"
         " deputy\nhave certainly ended: if one still acts, rates are admitted"
-        " twice and\nrequests with an idempotency key may run twice."
+        " twice and\nrequests with an idempotency key may run twice.\n\nWith"
+        " --clear, new keys run again in a shard whose earlier keys were"
+        " lost:\na repeated request whose record was lost then runs again."
     )
     arguments = [argument("shard", f"Number from 0 to {SHARDS - 1}.")]
     options = [
         base.JSON,
         base.ADDRESS,
         option("yes", "y", "Do not ask for confirmation."),
+        option("clear", None, "Clear the shard after an unclean claim."),
     ]
 
     def perform(self) -> base.Exit:
-        """Asks for confirmation and releases the shard."""
+        """Asks for confirmation and releases or clears the shard."""
         shard = base.whole_number("shard", self.argument("shard"))
         if shard is None or shard >= SHARDS:
             raise base.UsageError(
                 f"shard {shard} does not exist; write 0 to {SHARDS - 1}"
             )
-        if not self.option("yes") and not self.confirm(
+        action, done = "release", "released"
+        question = (
             "Have the processes of its owner and its deputy certainly ended?"
-        ):
-            raise base.UsageError(
-                "not released; end both processes first, then confirm"
-            )
-        path = f"/v1/shards/{shard}/release"
+        )
+        remedy = "end both processes first, then confirm"
+        if self.option("clear"):
+            action, done = "clear", "cleared"
+            question = "Is it certain that no lost request is sent again?"
+            remedy = "wait until callers have given up, then confirm"
+        if not self.option("yes") and not self.confirm(question):
+            raise base.UsageError(f"not {done}; {remedy}")
+        path = f"/v1/shards/{shard}/{action}"
         data = web.request(self.option("address"), path, "POST")
-        self.show({"shard": shard} | data, [f"shard {shard} is released"])
+        self.show({"shard": shard} | data, [f"shard {shard} is {done}"])
         return base.Exit.OK
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -304,7 +304,12 @@
             targets=self._targets,
             accounts=self._accounts,
         )
-        served = operators.OperatorEndpoints(views, self.metrics, self.tracer)
+        changes = operators.Changes(
+            self.limits.releases.release, self.limits.releases.clear
+        )
+        served = operators.OperatorEndpoints(
+            views, self.metrics, self.tracer, changes
+        )
         announcing = announce_http.resource(self.registry, self.reactor.seconds)
         combined = OperatorResource(served.resource(), announcing)
         return server.Site(combined)
--- a/src/cicadafront/limits/assembly.py
+++ b/src/cicadafront/limits/assembly.py
@@ -14,6 +14,7 @@
 from cicadafront.limits.outcomes import OutcomeService
 from cicadafront.limits.ownership import Ownership
 from cicadafront.limits.records_service import RecordsService
+from cicadafront.limits.release import ShardReleases
 from cicadafront.limits.service import OwnershipService, Prober
 
 PROBE_SECONDS = 1.0
@@ -28,6 +29,7 @@
         admission: Implements `ports.Admission`.
         outcomes: Implements `ports.OutcomeRecords`.
         records: Records of the shards that this process owns.
+        releases: Operators' changes to claims.
     """
 
     def __init__(
@@ -75,6 +77,9 @@
             unix_offset,
             most_record_bytes,
         )
+        self.releases = ShardReleases(
+            self.ownership, store, peers, directory, timer
+        )
         self.outcomes = OutcomeService(info.incarnation, self.owners, timer)
 
     def settled(self) -> bool:
--- a/src/cicadafront/limits/decisions.py
+++ b/src/cicadafront/limits/decisions.py
@@ -228,16 +228,22 @@
 def update(
     now: float, state: Shard, fleet: Fleet, lease: str
 ) -> Pending | None:
-    """Returns the write of a new deputy or lease, if either has changed."""
+    """Returns the write of a new deputy or lease, if either has changed.
+
+    It also withdraws an operator's release, which the life of the owner
+    disproves and which must not let others claim at a later time.
+    """
     assert state.claim is not None
     deputy = new_deputy(now, state, fleet)
-    if deputy is None and state.claim.lease == lease:
+    same = state.claim.lease == lease and not state.claim.released
+    if deputy is None and same:
         return None
     claim = attrs.evolve(
         state.claim,
         lease=lease,
         deputy=deputy or state.claim.deputy,
         outage=state.outage,
+        released=False,
     )
     return Pending(claim, Kind.UPDATE)
 
--- a/src/cicadafront/telemetry/operators.py
+++ b/src/cicadafront/telemetry/operators.py
@@ -6,8 +6,10 @@
 
 import attrs
 import klein
+from twisted.internet import defer
 from twisted.web import server
 
+from cicadafront import errors
 from cicadafront.telemetry import metrics as metrics_module
 from cicadafront.telemetry import tracing
 
@@ -34,6 +36,19 @@
     accounts: Callable[[], list[Json]]
 
 
+@attrs.frozen
+class Changes:
+    """Functions with which operators change the fleet.
+
+    Attributes:
+        release: Records that the processes of a shard have ended.
+        clear: Lets new idempotency keys run in an unclean shard.
+    """
+
+    release: Callable[[int], "defer.Deferred[Json]"]
+    clear: Callable[[int], "defer.Deferred[Json]"]
+
+
 def _json(request: server.Request, body: object, status: int = 200) -> bytes:
     request.setResponseCode(status)
     request.setHeader(b"content-type", b"application/json")
@@ -48,6 +63,7 @@
         views: Functions that read the state of the daemon.
         metrics: Metrics of this instance.
         tracer: Spans of this instance.
+        changes: Functions that change the fleet.
     """
 
     app: ClassVar[klein.Klein] = klein.Klein()
@@ -55,6 +71,7 @@
     views: Views
     metrics: metrics_module.Metrics
     tracer: tracing.Tracer
+    changes: Changes
 
     @app.route("/live", methods=["GET"])
     def live(self, request: server.Request) -> bytes:
@@ -100,6 +117,31 @@
         spans = [span.as_json() for span in self.tracer.trace(trace_id)]
         return _json(request, {"items": spans}, 200 if spans else 404)
 
+    @app.route("/v1/shards/<int:shard>/release", methods=["POST"])
+    def release(
+        self, request: server.Request, shard: int
+    ) -> "defer.Deferred[bytes]":
+        """Releases a shard whose owner and deputy have ended."""
+        return self._change(request, self.changes.release(shard))
+
+    @app.route("/v1/shards/<int:shard>/clear", methods=["POST"])
+    def clear(
+        self, request: server.Request, shard: int
+    ) -> "defer.Deferred[bytes]":
+        """Lets new idempotency keys run in an unclean shard."""
+        return self._change(request, self.changes.clear(shard))
+
+    def _change(
+        self, request: server.Request, changing: "defer.Deferred[Json]"
+    ) -> "defer.Deferred[bytes]":
+        def refused(reason) -> bytes:
+            reason.trap(errors.CicadafrontError)
+            error = reason.value
+            body = {"code": error.code, "message": error.message}
+            return _json(request, body, 409)
+
+        return changing.addCallbacks(lambda body: _json(request, body), refused)
+
     def resource(self) -> Any:
         """Returns the web resource to serve."""
         return self.app.resource()
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -30,6 +30,7 @@
     def __init__(self, reactor):
         self.revisions = {"i1": 1, "i2": 1}
         self.released = []
+        self.cleared = []
         self.addresses = {}
         self.ports = []
         for id in self.revisions:
@@ -83,6 +84,11 @@
             lambda shard: self.released.append(shard) or {"epoch": 4},
             methods=["POST"],
         )
+        answer(
+            "/v1/shards/<int:shard>/clear",
+            lambda shard: self.cleared.append(shard) or {"epoch": 4},
+            methods=["POST"],
+        )
         return app
 
     def status(self, id):
@@ -248,6 +254,13 @@
         self.assertEqual(self.run_command(line, f"{answer}\n")[0], code)
         self.assertEqual(self.fleet.released, released)
 
+    @parameterized.expand([("no", 1, []), ("yes", 0, [7])])
+    def test_shard_clear_asks(self, answer, code, cleared):
+        line = "shard release 7 --clear -a {address}"
+        self.assertEqual(self.run_command(line, f"{answer}\n")[0], code)
+        self.assertEqual(self.fleet.cleared, cleared)
+        self.assertEqual(self.fleet.released, [])
+
     def test_created_key_works_and_can_be_withdrawn(self):
         _, data = self.run_json("key create amani --id new --dir {dir}")
         (self.folder / "50.toml").write_text("# mine\n" + data["toml"])
--- a/tests/limits/test_stop.py
+++ b/tests/limits/test_stop.py
@@ -24,9 +24,7 @@
     """Guards against stops that never end and unsafe or lost releases."""
 
     def setUp(self):
-        patch = mock.patch.object(shards, "SHARDS", 1)
-        patch.start()
-        self.addCleanup(patch.stop)
+        self.enterContext(mock.patch.object(shards, "SHARDS", 1))
 
     def test_crash_before_the_release_is_unclean(self):
         for seed in range(SEEDS):
--- a/tests/telemetry/test_operators.py
+++ b/tests/telemetry/test_operators.py
@@ -8,15 +8,16 @@
 from treq import testing
 from twisted.internet import defer
 
+from cicadafront.limits import release
 from cicadafront.telemetry import metrics, operators, tracing
 
 
-def _get(resource, path):
+def _get(resource, path, method="get"):
     client = testing.StubTreq(resource)
     result = []
 
     async def exchange():
-        answer = await client.get(f"http://operators{path}")
+        answer = await getattr(client, method)(f"http://operators{path}")
         result.append((answer.code, await treq.content(answer)))
 
     defer.ensureDeferred(exchange())
@@ -37,8 +38,14 @@
             accounts=lambda: [{"id": "amani"}],
         )
         self.tracer = tracing.Tracer("dar-a-1", clock=lambda: 1.0)
+        changes = operators.Changes(
+            release=lambda shard: defer.succeed({"released": shard}),
+            clear=lambda shard: defer.fail(
+                release.ReleaseRefusedError(f"shard {shard}; wait")
+            ),
+        )
         served = operators.OperatorEndpoints(
-            views, metrics.Metrics(), self.tracer
+            views, metrics.Metrics(), self.tracer, changes
         )
         self.resource = served.resource()
 
@@ -56,6 +63,20 @@
         status, body = _get(self.resource, path)
         self.assertEqual((status, json.loads(body)), (200, expected))
 
+    def test_release_of_a_shard(self):
+        path = "/v1/shards/17/release"
+        status, body = _get(self.resource, path, "post")
+        self.assertEqual((status, json.loads(body)), (200, {"released": 17}))
+        self.assertEqual(_get(self.resource, path)[0], 405)
+
+    def test_refused_change_names_the_remedy(self):
+        status, body = _get(self.resource, "/v1/shards/17/clear", "post")
+        self.assertEqual(status, 409)
+        self.assertEqual(
+            json.loads(body),
+            {"code": "shard_release_refused", "message": "shard 17; wait"},
+        )
+
     def test_not_ready_is_503(self):
         self.reason = "no configuration yet"
         self.assertEqual(_get(self.resource, "/ready")[0], 503)
