--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -324,8 +324,11 @@
 
     def _operators_site(self) -> server.Site:
         seen = views.DaemonViews(self)
+        changes = operators.Changes(
+            self.limits.releases.release, self.limits.releases.clear
+        )
         served = operators.OperatorEndpoints(
-            seen.views(), self.metrics, self.tracer
+            seen.views(), self.metrics, self.tracer, changes
         )
         announcing = announce_http.resource(self.registry, self.reactor.seconds)
         combined = OperatorResource(served.resource(), announcing)
