Resign shards in a planned stop of the whole fleet

Cause: when all instances stop at once, an owner finds no candidate to hand over to. After the restart its claims looked like those of a crashed pair, so each new claim was unclean and new idempotency keys were refused with outcome_unknown.

--- a/src/cicadafront/limits/claims.py
+++ b/src/cicadafront/limits/claims.py
@@ -45,6 +45,8 @@
         journals: Journal prefixes with the Unix time at which their writer
             lost the shard (0 for the present owner).
         released: Whether an operator vouches that no process acts.
+        resigned: Whether the owner has stopped acting for good, with all its
+            begins in the journal, and found nobody to hand over to.
     """
 
     owner: Member
@@ -56,6 +58,7 @@
     unclean_at: float = 0.0
     journals: tuple[tuple[str, float], ...] = ()
     released: bool = False
+    resigned: bool = False
 
 
 def owner_key(shard: int) -> str:
--- a/src/cicadafront/limits/decisions.py
+++ b/src/cicadafront/limits/decisions.py
@@ -142,6 +142,12 @@
         if first is not None and first.id == fleet.me.id:
             return Takeover(Kind.FRESH, issue_from=now)
         return Takeover()
+    if state.claim.resigned:
+        # The compare-and-swap lets one claim win if two rank first.
+        first = fleet.first(state.number)
+        if first is not None and first.id == fleet.me.id:
+            return Takeover(Kind.THIRD_PARTY, True, now + GRANT_TAIL_SECONDS)
+        return Takeover()
     deputy = state.claim.deputy
     if deputy is not None and deputy.process == fleet.me.process:
         return _as_deputy(now, state, fleet)
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -12,14 +12,11 @@
 import attrs
 
 from cicadafront import ports
-from cicadafront.limits import actions, claims, decisions, shards
+from cicadafront.limits import actions, claims, decisions, shard, shards
 from cicadafront.limits.lease import Lease
 from cicadafront.limits.schedule import BACKOFF_SECONDS, Schedule
 from cicadafront.limits.shard import Ask, Kind, Pending, Phase, Shard
 
-# The deputy is asked once the store's confirmation is this old: a renewal has
-# then failed or is late.
-ASK_AFTER_SECONDS = 2.0
 ASK_SECONDS = 1.0
 LEASE_LIST_SECONDS = 1.0
 READ_ALL_SECONDS = 60.0
@@ -270,6 +267,9 @@
     def _won(self, state: Shard, write: Pending) -> list[actions.Action]:
         if write.kind is Kind.UPDATE:
             return []
+        if write.kind is Kind.RESIGN:
+            state.life.lost()
+            return [actions.Lost(state.number)]
         state.life.won()
         state.begin_epoch(write.kind)
         claim = write.claim
@@ -282,7 +282,7 @@
         ]
 
     def _store_confirmed(self, now: float) -> bool:
-        return self.lease.age(now) < ASK_AFTER_SECONDS
+        return self.lease.age(now) < shard.ASK_AFTER_SECONDS
 
     def _may_claim(self, now: float) -> bool:
         return self._store_confirmed(now) and not self.stopping
@@ -335,17 +335,14 @@
             target = self._fleet.first(state.number, [self.me.id])
             if target is not None:
                 return [actions.HandOver(state.number, target.id)]
+            if self.stopping:
+                return self._resign(now, state)
         assert state.claim is not None and self.lease.id is not None
         claim = state.claim
         deputy = decisions.new_deputy(now, state, self._fleet)
         if deputy is None and claim.lease == self.lease.id:
             return []
-        claim = attrs.evolve(
-            state.claim,
-            lease=self.lease.id,
-            deputy=deputy or claim.deputy,
-            outage=state.outage,
-        )
+        claim = state.next_claim(self.lease.id, deputy=deputy or claim.deputy)
         return self._write(state, Pending(claim, Kind.UPDATE))
 
     def _thaw(self, now: float, state: Shard) -> list[actions.Action]:
@@ -354,19 +351,27 @@
         if self.stopping:
             state.frozen_at = now
             target = self._fleet.first(state.number, [self.me.id])
-            return [actions.HandOver(state.number, target.id)] if target else []
+            if target is None:
+                return self._resign(now, state)
+            return [actions.HandOver(state.number, target.id)]
         if not self._store_confirmed(now):
             return []
         assert state.claim is not None and self.lease.id is not None
         self._placement.forget(state.number)
-        claim = attrs.evolve(
-            state.claim,
-            lease=self.lease.id,
-            epoch=state.claim.epoch + 1,
-            outage=state.outage,
-        )
+        claim = state.next_claim(self.lease.id, epoch=state.claim.epoch + 1)
         return self._write(state, Pending(claim, Kind.FENCE, now))
 
+    def _resign(self, now: float, state: Shard) -> list[actions.Action]:
+        """Ends the authority for a shard that nobody can take over.
+
+        Without it, a planned stop of the whole fleet would look like a crash
+        of owner and deputy, and all new idempotency keys would be refused.
+        """
+        able = state.settled and self._store_confirmed(now)
+        if not able or not self.freeze(now, state.number):
+            return []
+        return self._write(state, state.resignation())
+
     def _write(self, state: Shard, write: Pending) -> list[actions.Action]:
         write.in_flight = True
         state.pending = write
@@ -383,11 +388,10 @@
 
     def _ask_deputies(self, now: float) -> list[actions.Action]:
         asks: dict[claims.Member, list[Ask]] = {}
+        lease, age = self.lease.id, self.lease.age(now)
         for state in self.shards:
-            if self._needs_deputy(now, state):
-                ask = state.ask(self.me)
-                assert state.claim is not None and state.claim.deputy
-                asks.setdefault(state.claim.deputy, []).append(ask)
+            if deputy := state.needs_deputy(lease, age):
+                asks.setdefault(deputy, []).append(state.ask(self.me))
         if not asks or not self._schedule.begin(now, "ask"):
             return []
         self._schedule.done("ask", now + ASK_SECONDS)
@@ -395,11 +399,3 @@
             actions.AskDeputy(deputy, tuple(each))
             for deputy, each in asks.items()
         ]
-
-    def _needs_deputy(self, now: float, state: Shard) -> bool:
-        if state.phase is not Phase.HOLDING or state.claim is None:
-            return False
-        if state.claim.deputy is None or state.changes_deputy:
-            return False
-        own = state.claim.lease == self.lease.id
-        return not own or self.lease.age(now) > ASK_AFTER_SECONDS
--- a/src/cicadafront/limits/shard.py
+++ b/src/cicadafront/limits/shard.py
@@ -2,7 +2,7 @@
 
 import enum
 import math
-from typing import Protocol
+from typing import Any, Protocol
 
 import attrs
 import automat
@@ -15,6 +15,9 @@
 # shorter than the lease and than a deputy's promise, so that the owner stops
 # first even when the two clocks differ by 1%.
 CONFIRMED_SECONDS = 4.0
+# The deputy is asked once the store's confirmation is this old: a renewal has
+# then failed or is late.
+ASK_AFTER_SECONDS = 2.0
 # A deputy neither claims nor acts this long after its last promise.
 PROMISE_SECONDS = 5.0
 # Longest time on promises alone; others may claim after CERTAIN_SECONDS.
@@ -84,6 +87,7 @@
     HANDOVER = "handover"
     FENCE = "fence"
     UPDATE = "update"
+    RESIGN = "resign"
 
 
 @attrs.define
@@ -196,6 +200,36 @@
         self.outage_open = False
         self.deputy_until = -math.inf
 
+    def next_claim(self, lease: str, **changes: Any) -> claims.Claim:
+        """Returns the claim that this process would write next."""
+        assert self.claim is not None
+        return attrs.evolve(
+            self.claim, lease=lease, outage=self.outage, **changes
+        )
+
+    def resignation(self) -> Pending:
+        """Returns the write that ends the authority of this process."""
+        assert self.claim is not None
+        claim = attrs.evolve(self.claim, resigned=True)
+        return Pending(claim, Kind.RESIGN)
+
+    def needs_deputy(
+        self, lease: str | None, age: float
+    ) -> claims.Member | None:
+        """Returns the deputy if it must confirm this process, else None.
+
+        Args:
+            lease: Live lease of this process, if any.
+            age: Seconds since that lease was last confirmed.
+        """
+        if self.phase is not Phase.HOLDING or self.claim is None:
+            return None
+        if self.changes_deputy:
+            return None
+        if self.claim.lease == lease and age <= ASK_AFTER_SECONDS:
+            return None
+        return self.claim.deputy
+
     def ask(self, me: claims.Member) -> "Ask":
         """Returns the request to the deputy; opens an outage."""
         assert self.claim is not None and self.claim.deputy is not None
--- a/tests/limits/test_faults.py
+++ b/tests/limits/test_faults.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+import attrs
 from parameterized import parameterized
 
 from cicadafront.config import model as config_model
@@ -272,6 +273,60 @@
             # The claim is unclean: the key may have run before.
             self.assertEqual(scene.watched.errors, [("k", "outcome_unknown")])
 
+    def test_planned_stop_of_all_is_clean(self):
+        """New keys must work after a restart; old ones must not run again."""
+        with mock.patch.object(shards, "SHARDS", 1):
+            for seed in range(5):
+                scene = Scene(seed)
+                scene.watched.begin(scene.others[0], "amani", "k")
+                scene.watched.advance(1)
+                scene.watched.begin(scene.others[1], "amani", "late")
+                for node in scene.fleet.nodes.values():
+                    info = node.process.info
+                    node.process.info = attrs.evolve(info, leaving=True)
+                scene.watched.advance(0.3)
+                for node in scene.fleet.nodes.values():
+                    node.limits.stop()
+                scene.watched.advance(4)
+                self.assertEqual(scene.fleet.acting(0), [])
+                for id in list(scene.fleet.nodes):
+                    scene.fleet.restart(id)
+                scene.watched.advance(6)
+                node = next(iter(scene.fleet.nodes.values()))
+                before = len(scene.watched.runs)
+                for key in ("k", "late", "new"):
+                    scene.watched.begin(node, "amani", key)
+                scene.watched.advance(3)
+                self.assertEqual(len(scene.watched.runs), before + 1)
+                self.assertIn(("k", "outcome_unknown"), scene.watched.errors)
+
+    def test_planned_stop_of_all_in_an_outage_is_unclean(self):
+        """A begin that is in no journal must not run again."""
+        with mock.patch.object(shards, "SHARDS", 1):
+            for seed in range(3):
+                scene = Scene(seed)
+                scene.fleet.store.up = False
+                scene.watched.advance(20)
+                scene.watched.begin(scene.others[0], "amani", "k")
+                scene.watched.advance(3)
+                self.assertEqual(len(scene.watched.runs), 1)
+                for node in scene.fleet.nodes.values():
+                    info = node.process.info
+                    node.process.info = attrs.evolve(info, leaving=True)
+                scene.watched.advance(0.3)
+                for node in scene.fleet.nodes.values():
+                    node.limits.stop()
+                scene.watched.advance(4)
+                for id in list(scene.fleet.nodes):
+                    scene.fleet.restart(id)
+                scene.fleet.store.up = True
+                scene.watched.advance(60)
+                node = next(iter(scene.fleet.nodes.values()))
+                scene.watched.begin(node, "amani", "k")
+                scene.watched.advance(3)
+                self.assertEqual(len(scene.watched.runs), 1)
+                self.assertIn(("k", "outcome_unknown"), scene.watched.errors)
+
     def test_outage_settles(self):
         """After an outage of the store a takeover is clean again."""
         with mock.patch.object(shards, "SHARDS", 1):
