--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -22,7 +22,7 @@
     supervisor,
     views,
 )
-from cicadafront.health import crashes, permit_owner, probe
+from cicadafront.health import crashes, paths, permit_owner, probe
 from cicadafront.health import service as health_service
 from cicadafront.limits import assembly as limits_assembly
 from cicadafront.membership import (
@@ -226,6 +226,7 @@
             self.gossip.reachable,
         )
         self.slots = slots.FairSlots(self.reactor, self._must_run_alone)
+        self.paths = paths.Paths(self.rng)
         self.picker = picker.Picker(
             self.rng,
             self.subset.targets,
@@ -244,7 +245,18 @@
         self.abandon(target)
 
     def _usable(self, now: float, instance: str) -> bool:
-        return not self.is_down(instance) and self.gossip.reachable(instance)
+        return (
+            not self.is_down(instance)
+            and self.paths.usable(now, instance)
+            and self.gossip.reachable(instance)
+        )
+
+    def _judge_path(self, instance: str, works: bool) -> None:
+        now = self.reactor.seconds()
+        if works:
+            self.paths.heard(now, instance)
+        else:
+            self.paths.open_failed(now, instance)
 
     def _refuses(self, target: str) -> "defer.Deferred[bool]":
         local = self.registry.target(target)
@@ -313,6 +325,7 @@
             records=self.records,
             hand_over=self.limits.stop,
             confirmed=lambda: self.sync.confirmed(self.reactor.seconds()),
+            judge_path=self._judge_path,
             announce_leaving=self.membership.leave,
             before_links=[endpoints],
             after_links=[membership, configuration, limits, *health],
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -48,6 +48,7 @@
         picker: Chooses targets; the least loaded of two without one.
         metrics: Metrics of this instance.
         tracer: Spans of this instance; a new one without it.
+        judge_path: Takes whether the path to an instance works.
         announce_leaving: Tells the fleet about a planned stop.
         hand_over: Hands over what this instance owns, once its exchanges
             have ended and while its links are still open.
@@ -75,6 +76,7 @@
         factory=metrics_module.Metrics
     )
     tracer: tracing.Tracer | None = None
+    judge_path: Callable[[str, bool], None] = lambda peer, works: None
     announce_leaving: Callable[[], None] = lambda: None
     hand_over: Callable[[], "defer.Deferred[None]"] = lambda: defer.succeed(
         None
@@ -153,7 +155,12 @@
         )
         opener = pool.Relay(settings.instance, self, self._open_at)
         services = link.Services(
-            hello, opener, handlers, self._reactor, self.counts
+            hello,
+            opener,
+            handlers,
+            self._reactor,
+            self.counts,
+            self._judge_path,
         )
         self.calls = pool.Pool(
             services, self._address_of, self._reactor, handlers
@@ -249,6 +256,9 @@
         found = self._fleet.directory.instance(instance)
         return found.peer_address if found is not None else None
 
+    def _judge_path(self, peer: str, works: bool) -> None:
+        self._fleet.judge_path(peer, works)
+
     def open(
         self, request: exchange.OpenRequest, response: exchange.ResponseSink
     ) -> exchange.RequestSink:
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -37,6 +37,7 @@
         handlers: Call handlers by method.
         clock: Source of time and timers.
         counts: Counts dropped frames and lost links.
+        judge_path: Called with a peer and whether the path to it works.
     """
 
     hello: codec.Hello
@@ -44,6 +45,7 @@
     handlers: Mapping[str, ports.CallHandler]
     clock: Any
     counts: Counts = attrs.field(factory=collections.Counter)
+    judge_path: Callable[[str, bool], None] = lambda peer, works: None
 
 
 class _Life(Protocol):
@@ -129,7 +131,11 @@
         self._highest = 0
         self._greeting: Any = None
         self._heartbeat = heartbeat.Heartbeat(
-            self._clock, lambda: self.busy, self._ping, self._silent
+            self._clock,
+            lambda: self.busy,
+            self._ping,
+            self._silent,
+            self._doubt,
         )
         self._life = _MACHINE(self)
 
@@ -362,6 +368,10 @@
         if self.ready and self.busy:
             self._heartbeat.watch()
 
+    def _doubt(self, late: bool) -> None:
+        if not self._accepted:
+            self._services.judge_path(self.peer, not late)
+
     def _ping(self, token: int) -> None:
         self.send(codec.Ping(token))
 
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -149,6 +149,7 @@
         if not gone.proven:
             now = self._services.clock.seconds()
             self._down[gone.peer] = now + DOWN_SECONDS
+            self._services.judge_path(gone.peer, False)
         if self._links.get(gone.peer) is gone:
             del self._links[gone.peer]
 
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -3,6 +3,7 @@
 import struct
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies
 from parameterized import parameterized
@@ -29,7 +30,11 @@
 
     def __init__(self, version=link.PROTOCOL_VERSION, peer="b", handlers=None):
         self.clock = task.Clock()
-        self.a = _services(self.clock, "a")
+        self.judged = []
+        self.a = attrs.evolve(
+            _services(self.clock, "a"),
+            judge_path=lambda *judged: self.judged.append(judged),
+        )
         self.b = _services(self.clock, "b", version, handlers)
         self.client = link.Link(self.a, peer)
         self.server = link.Link(self.b)
@@ -256,6 +261,19 @@
         self.assertEqual(response.events, [("link_lost", "unknown")])
         self.assertTrue(far_request.cancelled)
 
+    def test_path_is_doubted_before_the_link_is_closed(self):
+        pair = Pair().connect()
+        pair.open()
+        pair.silent = True
+        pair.advance(0.65)
+        self.assertEqual(pair.judged, [])
+        pair.advance(0.1)
+        self.assertEqual(pair.judged, [("b", False)])
+        self.assertFalse(pair.client.closed)
+        pair.silent = False
+        pair.pump()
+        self.assertEqual(pair.judged, [("b", False), ("b", True)])
+
     def test_quiet_but_live_link(self):
         pair = Pair().connect()
         _, response, _, _ = pair.open()
