Ask three candidates before a planned stop releases a shard

Cause: a stopping owner released a shard after the first refused hand-over. In a rolling restart the first candidate may refuse because it has just started; the release then loses the answers of finished requests, which a hand-over keeps.

Change: it asks up to 3 candidates within 2 s before it releases.

--- a/src/cicadafront/limits/decisions.py
+++ b/src/cicadafront/limits/decisions.py
@@ -14,6 +14,10 @@
 # lifetime of a grant and 2% for clocks that differ.
 GRANT_TAIL_SECONDS = 2.05
 SUSPECT_SECONDS = 2.0
+# A hand-over keeps the answers of finished requests, a release does not; but
+# a try may take 3 s and a daemon waits 8 s for all.
+HANDOVER_TRIES = 3
+HANDOVER_RETRY_SECONDS = 2.0
 # A shard moves to the candidate that ranks first once it has done so this long.
 REBALANCE_SECONDS = 30.0
 # Journals of former owners are read for as long as records live, plus an hour
@@ -225,6 +229,17 @@
     return Pending(claim, plan.kind, plan.issue_from, plan.clean)
 
 
+def next_candidate(
+    now: float, state: Shard, fleet: Fleet
+) -> ports.InstanceInfo | None:
+    """Returns whom a stopping owner asks next; None if it is to release."""
+    if len(state.refused) >= HANDOVER_TRIES:
+        return None
+    if now >= state.frozen_at + HANDOVER_RETRY_SECONDS:
+        return None
+    return fleet.first(state.number, [fleet.me.id, *state.refused])
+
+
 def update(
     now: float, state: Shard, fleet: Fleet, lease: str
 ) -> Pending | None:
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -197,9 +197,10 @@
         """Stops acting for a shard that is to be handed over."""
         return self.shards[number].freeze(now)
 
-    def handover_failed(self, number: int) -> None:
+    def handover_failed(self, number: int, to: str) -> None:
         """Takes that a hand-over was refused or had no answer."""
-        self.shards[number].refused = self.stopping
+        if self.stopping:
+            self.shards[number].refused += (to,)
 
     def release(self, now: float, number: int) -> bool:
         """Stops acting for a shard for good; tells whether it has stopped."""
@@ -353,12 +354,14 @@
     def _thaw(self, now: float, state: Shard) -> list[actions.Action]:
         if state.releasing:
             return []
-        if self.stopping and state.refused:
+        late = now >= state.frozen_at + HANDOVER_SECONDS
+        if self.stopping and (late or state.refused):
+            target = decisions.next_candidate(now, state, self._fleet)
+            if target is not None:
+                return [actions.HandOver(state.number, target.id)]
             return [actions.Release(state.number)]
-        if now < state.frozen_at + HANDOVER_SECONDS:
+        if not late:
             return []
-        if self.stopping:
-            return [actions.Release(state.number)]
         if not self._store_confirmed(now):
             return []
         assert state.claim is not None and self.lease.id is not None
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -320,7 +320,7 @@
             yield self._send_state(shard, to)
         except (errors.CicadafrontError, defer.TimeoutError):
             _log("The hand-over failed.", shard=shard, to=to)
-            self.core.handover_failed(shard)
+            self.core.handover_failed(shard, to)
         finally:
             self._handing.discard(shard)
 
@@ -353,7 +353,7 @@
             )
         reply = calls.unpack(answer)
         if reply["claim"] is None:
-            self.core.handover_failed(shard)
+            self.core.handover_failed(shard, to)
         else:
             claim = claims.decode(reply["claim"].encode())
             self.run(
--- a/src/cicadafront/limits/shard.py
+++ b/src/cicadafront/limits/shard.py
@@ -129,7 +129,7 @@
         outage: Number of the last outage in this epoch.
         outage_open: Whether begins may be kept in memory only.
         frozen_at: Time at which the hand-over began.
-        refused: Whether a hand-over of a stopping process has failed.
+        refused: Candidates to which a hand-over at a planned stop failed.
         releasing: Whether the shard is released once its begins are in the
             journal; this process never acts for it again.
     """
@@ -148,7 +148,7 @@
     outage: int = 0
     outage_open: bool = False
     frozen_at: float = -math.inf
-    refused: bool = False
+    refused: tuple[str, ...] = ()
     releasing: bool = False
     _stage: _Stage = attrs.field(factory=_Stage, init=False)
     life: Life = attrs.field(init=False)
@@ -203,7 +203,8 @@
         assert self.claim is not None
         if kind is not Kind.FENCE:
             self.outage = self.claim.outage
-        self.refused = self.releasing = False
+        self.refused = ()
+        self.releasing = False
         self.end_outage()
 
     def needs_deputy(self, lease: str | None, age: float) -> bool:
--- a/tests/limits/test_stop.py
+++ b/tests/limits/test_stop.py
@@ -6,8 +6,10 @@
 import unittest
 from unittest import mock
 
+from parameterized import parameterized
+
 from cicadafront.emulator import fleet as fleets
-from cicadafront.limits import shards
+from cicadafront.limits import claims, shards
 from tests.limits import checks
 from tests.limits.scenes import ACCOUNT, Scene
 from tests.limits.stops import (
@@ -59,6 +61,28 @@
             begin_again(scene)
             self.assertIn(("k", "outcome_unknown"), scene.watched.errors)
 
+    def test_next_candidate_takes_over(self):
+        """A candidate that refuses must not cost the kept answers."""
+        for seed in range(SEEDS):
+            scene = Scene(seed)
+            scene.watched.begin(scene.others[0], "amani", "k")
+            scene.watched.advance(1)
+            scene.watched.end(scene.watched.runs[0], "finish")
+            scene.watched.advance(1)
+            owner = scene.owner.process.info.id
+            ranked = shards.ranked(
+                0, [node.process.info for node in scene.fleet.nodes.values()]
+            )
+            first = next(info.id for info in ranked if info.id != owner)
+            scene.cut_from_store(scene.fleet.nodes[first])
+            scene.watched.advance(3)
+            scene.owner.process.run(scene.owner.limits.stop)
+            scene.watched.advance(2)
+            self.assertNotIn(scene.fleet.acting(0), ([], [owner], [first]))
+            scene.watched.begin(scene.others[0], "amani", "k")
+            scene.watched.advance(2)
+            self.assertEqual(scene.watched.replays, 1)
+
     def test_lone_instance_releases(self):
         fleet = fleets.Fleet(1, 1, 1, 0.0, (ACCOUNT,))
         watched = checks.Watched(fleet)
@@ -77,5 +101,23 @@
         self.assertEqual(len(watched.runs), 2)
 
 
+class AllShardsTest(unittest.TestCase):
+    """Guards against releases of 256 shards that outlast the daemon's wait."""
+
+    @parameterized.expand([(1,), (3,)])
+    def test_stop_fits_the_wait(self, instances):
+        fleet = fleets.Fleet(1, instances, 3, 0.0, (ACCOUNT,))
+        fleet.advance(15)
+        stopped = stop_all(fleet)
+        fleet.advance(HAND_OVER_SECONDS)
+        self.assertEqual(sorted(stopped), sorted(fleet.nodes))
+        values = [
+            fleet.store.items[claims.owner_key(number)].value
+            for number in range(shards.SHARDS)
+        ]
+        for value in values:
+            self.assertTrue(claims.decode(value).stopped)
+
+
 if __name__ == "__main__":
     unittest.main()
