State the failed reads of the demo's gray target plainly

Cause: the step printed '782 of 778 whole', counting answers to reads sent before the fault. Change: it prints failed and sent reads of the whole step. Conclusion: the line says what a reader expects.

--- a/src/cicadafront/emulator/demo.py
+++ b/src/cicadafront/emulator/demo.py
@@ -297,7 +297,6 @@
         generator = load.LoadGenerator(self._read_load(), self.reactor)
         loading = defer.ensureDeferred(generator.run())
         await self.pause(WARM_SECONDS)
-        before = self._counts(generator)
         await self.fault(gray, "stall")
         start = time.monotonic()
 
@@ -308,13 +307,12 @@
         seconds = time.monotonic() - start
         report = (await loading)[0]
         await self.fault(gray, "none")
-        good, sent = self._counts(generator)
+        failed = report.sent - report.codes["ok"]
         seen = (
-            f"ejected after {seconds:.1f} s; {good - before[0]} of "
-            f"{sent - before[1]} whole since, p99 "
-            f"{report.as_json()['p99_ms']:.0f} ms"
+            f"ejected after {seconds:.1f} s, {failed} of {report.sent} reads "
+            f"failed, p99 {report.as_json()['p99_ms']:.0f} ms"
         )
-        return done and good == sent, seen
+        return done and not failed, seen
 
     def _read_load(self) -> load.LoadOptions:
         # 20 requests/s for each of the six targets.
@@ -328,10 +326,6 @@
             seed=self.fleet.seed,
         )
 
-    def _counts(self, generator: load.LoadGenerator) -> tuple[int, int]:
-        report = generator.reports["reader"]
-        return report.codes["ok"], report.sent
-
     async def set_store(self, outage: bool) -> None:
         """Starts or ends an outage of the store."""
         body = b'{"outage": %s}' % str(outage).lower().encode()
