Answer 503 credit_unavailable while the owner of a rate is lost

Cause: after a whole crash, requests within their rate got 429 rate_exceeded for up to 37.6 s (seen on a local fleet), which blames the caller. Conclusion: callers and operators can tell the two cases apart.

--- a/src/cicadafront/errors.py
+++ b/src/cicadafront/errors.py
@@ -87,6 +87,13 @@
     status = 429
 
 
+class CreditUnavailableError(RequestError):
+    """The owner of the account's rate does not answer."""
+
+    code = "credit_unavailable"
+    status = 503
+
+
 class NotReadyError(RequestError):
     """The instance holds no configuration yet."""
 
--- a/src/cicadafront/limits/admission.py
+++ b/src/cicadafront/limits/admission.py
@@ -65,6 +65,7 @@
         self._timer = timer
         self._accounts = accounts
         self._waiting: dict[int, defer.Deferred[None]] = {}
+        self._unanswered: set[str] = set()
         self._asks: dict[tuple[int, int], defer.Deferred[bytes]] = {}
         self._refills: set[str] = set()
         ownership.parts.append(self)
@@ -80,7 +81,11 @@
     def admit(
         self, account: config_model.ClientAccount
     ) -> "defer.Deferred[None]":
-        """Admits one request, or fails with `RateExceededError`."""
+        """Admits one request.
+
+        Fails with `RateExceededError`, or with `CreditUnavailableError` if
+        the last call to the owner had no answer.
+        """
         now = self._timer.seconds()
         number = self.grants.admit(now, account.id)
         if number is None:
@@ -94,8 +99,13 @@
         self._pump(account.id)
         return result
 
-    @staticmethod
-    def _refusal(account: str, retry_after: float) -> errors.RateExceededError:
+    def _refusal(self, account: str, retry_after: float) -> errors.RequestError:
+        if account in self._unanswered:
+            return errors.CreditUnavailableError(
+                f"the instance that keeps the rate of client account "
+                f"{account!r} does not answer; retry after the given time",
+                retry_after=max(1.0, retry_after),
+            )
         return errors.RateExceededError(
             f"client account {account!r} has used its rate and burst; "
             "retry after the given time",
@@ -125,11 +135,13 @@
             )
         except errors.CallFailedError:
             if not ask.report_only:
+                self._unanswered.add(ask.account)
                 self.grants.failed(self._timer.seconds(), ask.account)
                 self._pump_later(ask.account)
             return
         if ask.report_only:
             return
+        self._unanswered.discard(ask.account)
         first, second, amount, life, eager, retry_after = reply["grant"]
         grant = Grant((first, second), amount, life, eager, retry_after)
         now = self._timer.seconds()
