Split the virtual stand-ins and the demo's paths into modules

Change: virtual_store.py, virtual_view.py and demo_paths.py; no behaviour changes. Conclusion: each module has one job.

--- a/src/cicadafront/emulator/demo.py
+++ b/src/cicadafront/emulator/demo.py
@@ -21,7 +21,7 @@
 
 from cicadafront import errors
 from cicadafront.config import apply, folder
-from cicadafront.emulator import callers, load, processes
+from cicadafront.emulator import callers, demo_paths, load, processes
 from cicadafront.store import client
 
 READY_SECONDS = 30.0
@@ -31,65 +31,6 @@
 WARM_SECONDS = 10.0
 
 
-@attrs.frozen
-class Paths:
-    """Paths and tokens of an example configuration.
-
-    Attributes:
-        read: Path of a repeatable read and its service.
-        upload: Path of a large upload.
-        payment: Path of a non-repeatable request.
-        reader: Token of the reading account.
-        payer: Token of the paying account.
-        uploader: Token of the uploading account.
-        withdrawn: Id of a key that is withdrawn.
-        withdrawn_token: Its token.
-    """
-
-    read: str
-    read_service: str
-    upload: str
-    payment: str
-    payment_service: str
-    reader: str
-    payer: str
-    uploader: str
-    withdrawn: str
-    withdrawn_token: str
-
-
-def _token(number: int) -> str:
-    return f"cf_example{number}_public-token-{number}"
-
-
-PATHS = {
-    "kaburi": Paths(
-        read="/rounds/today",
-        read_service="rounds",
-        upload="/proofs/photo-1",
-        payment="/payments/1",
-        payment_service="ledger",
-        reader=_token(1),
-        payer=_token(3),
-        uploader=_token(1),
-        withdrawn="example4",
-        withdrawn_token=_token(4),
-    ),
-    "pancierova": Paths(
-        read="/chambers/1",
-        read_service="chambers",
-        upload="/intake/file-1",
-        payment="/bookings/1",
-        payment_service="bookings",
-        reader=_token(1),
-        payer=_token(3),
-        uploader=_token(1),
-        withdrawn="example4",
-        withdrawn_token=_token(4),
-    ),
-}
-
-
 @attrs.frozen
 class Result:
     """Outcome of one step."""
@@ -106,7 +47,7 @@
     def __init__(self, reactor: Any, fleet: processes.LocalFleet):
         self.reactor = reactor
         self.fleet = fleet
-        self.paths = PATHS[fleet.deployment.name]
+        self.paths = demo_paths.PATHS[fleet.deployment.name]
         self.results: list[Result] = []
         self.random = random.Random(fleet.seed)
         self.admin = callers.Caller(reactor, timeout=5.0)
--- a/src/cicadafront/emulator/fleet.py
+++ b/src/cicadafront/emulator/fleet.py
@@ -5,7 +5,7 @@
 
 from cicadafront import ports
 from cicadafront.config import model as config_model
-from cicadafront.emulator import virtual
+from cicadafront.emulator import virtual, virtual_store, virtual_view
 from cicadafront.limits import assembly, shards
 
 
@@ -17,12 +17,12 @@
         process.peers = virtual.Peers(process)
         self.limits = assembly.Limits(
             info,
-            virtual.StoreClient(process, fleet.store),
+            virtual_store.StoreClient(process, fleet.store),
             process.peers,
-            virtual.View(process),
+            virtual_view.View(process),
             process,
             random.Random(f"{fleet.seed}/{info.id}/{info.incarnation}"),
-            virtual.prober(process),
+            virtual_view.prober(process),
             fleet.accounts.get,
             unix_offset=1.7e9 - process.seconds() + fleet.world.clock.seconds(),
             **fleet.options,
@@ -57,7 +57,7 @@
     ):
         self.seed = seed
         self.world = virtual.World(seed)
-        self.store = virtual.StoreServer(self.world)
+        self.store = virtual_store.StoreServer(self.world)
         self.accounts = {account.id: account for account in accounts}
         self.options = options
         self.nodes: dict[str, Node] = {}
