Count stalled requests that entries gave up, and make the races certain

Two fleets at a time could take each other's ports, because these came from the range of outgoing connections. Change: the detector keeps requests given up in the last 4 s with their age; writers race in rounds and half of them name their base revision; callers also send a wrong key; ports come from below 32768, each process from a place of its own.

--- a/src/cicadafront/emulator/processes.py
+++ b/src/cicadafront/emulator/processes.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import itertools
 import os
 import pathlib
 import shutil
@@ -22,11 +23,19 @@
 TARGETS_PER_SERVICE = 2
 
 
+# Below the usual range of ports for outgoing connections, which would
+# otherwise take a port between its choice and its use. Fleets that run at the
+# same time start at different places.
+_PORTS = itertools.count(10_000 + os.getpid() % 200 * 100)
+
+
 def free_port() -> int:
-    """Returns a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port that is free and that this process hands out once."""
+    while True:
+        port = next(_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return port
 
 
 @attrs.frozen
--- a/src/cicadafront/health/detector.py
+++ b/src/cicadafront/health/detector.py
@@ -46,6 +46,11 @@
 # (3 * 2.7 < 12).
 STALL_STEPS = 3
 STALL_EVIDENCE = 2.7
+# Requests that were given up while they stalled count for this long. Entries
+# give a hedged request up after 1 s and send the target little work, so that
+# stalled requests follow one another instead of adding up.
+ABANDONED_SECONDS = 4.0
+MAX_ABANDONED = 16
 # Others' evidence counts double: at the moment at which the first of several
 # evenly slow targets raises its alarm, the others lag behind by chance.
 OTHERS_FACTOR = 2.0
@@ -113,6 +118,10 @@
         self._warm_at = warm_since + COLD_SECONDS
         self._running: dict[int, _Running] = {}
         self._answered: dict[int, _Running] = {}
+        # End and request of those given up before their answer began.
+        self._abandoned: collections.deque[tuple[float, _Running]] = (
+            collections.deque(maxlen=MAX_ABANDONED)
+        )
         self._started: collections.deque[float] = collections.deque(maxlen=64)
         self._routes: dict[bytes, collections.deque[float]] = {}
         # Start and latency over baseline.
@@ -138,6 +147,7 @@
         self._alarms = {}
         self._running.clear()
         self._answered.clear()
+        self._abandoned.clear()
         self._latest.clear()
 
     def started(self, now: float, request: outcomes.Work) -> None:
@@ -156,14 +166,15 @@
         self, now: float, request: outcomes.Work, outcome: outcomes.Outcome
     ) -> None:
         """Counts the outcome; unknown requests (see `reset`) are ignored."""
-        running = self._running.pop(request.serial, None)
-        if running is None:
-            running = self._answered.pop(request.serial, None)
+        answered = self._answered.pop(request.serial, None)
+        running = answered or self._running.pop(request.serial, None)
         if running is None:
             return
         match outcome:
             case outcomes.Failed():
                 self._sums[Signal.FAULTS].add(now, True)
+            case outcomes.Cancelled() if answered is None:
+                self._abandoned.append((now, running))
             case outcomes.Completed(status, seconds):
                 self._completed(now, running, status, seconds)
 
@@ -202,25 +213,36 @@
         return self._sums[signal].at(now)
 
     def _stalled(self, now: float, pace: float = 0.0) -> float:
-        steps = 0
-        for running in self._running.values():
-            usual = self._reference.routes.get(running.route)
-            if usual is None:
-                continue
-            limit = max(
-                STALL_FACTOR * usual.p99,
-                STALL_MIN_SECONDS,
-                STALL_PACE_FACTOR * pace * self._baselines[running.route],
-            )
-            found = min(STALL_STEPS, int((now - running.started) / limit))
-            if self._completed_at >= running.started + limit:
-                found = min(found, 1)
-            steps += found
+        steps = sum(
+            self._stall_steps(running, now - running.started, pace)
+            for running in self._running.values()
+        )
+        steps += sum(
+            self._stall_steps(running, ended - running.started, pace)
+            for ended, running in self._abandoned
+            if now - ended < ABANDONED_SECONDS
+        )
         return min(evidence.LEVEL_CAP, steps * STALL_EVIDENCE)
 
+    def _stall_steps(self, running: _Running, age: float, pace: float) -> int:
+        usual = self._reference.routes.get(running.route)
+        if usual is None:
+            return 0
+        limit = max(
+            STALL_FACTOR * usual.p99,
+            STALL_MIN_SECONDS,
+            STALL_PACE_FACTOR * pace * self._baselines[running.route],
+        )
+        found = min(STALL_STEPS, int(age / limit))
+        if self._completed_at >= running.started + limit:
+            found = min(found, 1)
+        return found
+
     def _onset(self, signal: Signal) -> float:
         if signal is Signal.STALLED:
-            return min(running.started for running in self._running.values())
+            found = [running.started for running in self._running.values()]
+            found += [running.started for _, running in self._abandoned]
+            return min(found)
         return self._sums[signal].onset
 
     def _paces(self, now: float, since: float) -> list[float]:
--- a/tests/health/test_detector.py
+++ b/tests/health/test_detector.py
@@ -23,12 +23,14 @@
     return start + 0.05 * count
 
 
-def _others(now: float, levels=(0.0, 0.0, 0.0, 0.0)) -> reference.Reference:
+def _others(
+    now: float, levels=(0.0, 0.0, 0.0, 0.0), pace=1.0
+) -> reference.Reference:
     found = reference.References()
     route = reference.RouteSummary(reference.route_key("route"), 64, 0.04, 0.08)
     for number in range(5):
         key = reference.target_key(f"other-{number}")
-        found.learn(now, reference.Summary(key, levels, 20, 20, 1.0, (route,)))
+        found.learn(now, reference.Summary(key, levels, 20, 20, pace, (route,)))
     return found.reference(now, "self")
 
 
@@ -68,6 +70,48 @@
             self.assertEqual({"target-0", "target-1"}, set(service.gray()))
 
 
+class GivenUpTest(unittest.TestCase):
+    """Guards against stalls that hide behind requests given up early."""
+
+    def _judge(self, count, pace=1.0, answered=False):
+        judge = detector.Detector("self")
+        now = _feed(judge, outcomes.Completed(200, 0.02), 40, 0.0)
+        judge.verdict(now, _others(now, pace=pace))
+        for number in range(1000, 1000 + count):
+            work = outcomes.Work(number, "route")
+            judge.started(now, work)
+            if answered:
+                judge.answered(work)
+            now += 1.0
+            judge.finished(now, work, outcomes.Cancelled())
+        return judge.verdict(now, _others(now, pace=pace))
+
+    @parameterized.expand(
+        [
+            ("two stalls one after the other", 2, 1.0, False, True),
+            ("one long request", 1, 1.0, False, False),
+            ("all targets as slow", 2, 20.0, False, False),
+            ("caller reads slowly", 2, 1.0, True, False),
+        ]
+    )
+    def test_verdict(self, _name, count, pace, answered, gray):
+        found = self._judge(count, pace, answered)
+        self.assertEqual(isinstance(found, detector.Gray), gray, found)
+
+    def test_old_stalls_do_not_add_up(self):
+        judge = detector.Detector("self")
+        now = _feed(judge, outcomes.Completed(200, 0.02), 40, 0.0)
+        judge.verdict(now, _others(now))
+        for number in (1000, 1001):
+            work = outcomes.Work(number, "route")
+            judge.started(now, work)
+            now += 1.0
+            judge.finished(now, work, outcomes.Cancelled())
+            now += detector.ABANDONED_SECONDS
+        found = judge.verdict(now, _others(now))
+        self.assertNotIsInstance(found, detector.Gray)
+
+
 class FalseAlarmTest(unittest.TestCase):
     """Guards against healthy targets that are condemned."""
 
--- a/tests/system/gray.py
+++ b/tests/system/gray.py
@@ -27,6 +27,7 @@
 RECOVERY_SECONDS = 30.0
 # Permits of a former owner end within 5 s of its last renewal.
 WARM_SECONDS = 2.0
+COLD_SECONDS = 10.0
 POLL_SECONDS = 0.1
 FAULTS: dict[str, dict[str, Any]] = {
     "stall": {"fault": "stall"},
@@ -72,6 +73,9 @@
     async def run(self, repeats: int) -> list[Trial]:
         """Runs all trials."""
         trials: list[Trial] = []
+        # Targets are cold for 10 s after their start, which their weight
+        # does not show.
+        await self.world.pause(COLD_SECONDS)
 
         async def trying() -> None:
             number = 0
--- a/tests/system/registry.py
+++ b/tests/system/registry.py
@@ -65,7 +65,7 @@
         seed: Seed of all draws.
         done: Commands that have ended.
         samples: Revisions reported by each instance, in order.
-        writing: Number of writers that still run.
+        writing: Whether further changes come.
     """
 
     world: world.World
@@ -74,12 +74,11 @@
     samples: dict[str, list[int]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
-    writing: int = WRITERS
+    writing: bool = True
 
     async def run(self) -> list[str]:
         """Runs the race; returns what is wrong with its history."""
-        writers = [self.writer(number) for number in range(WRITERS)]
-        await self.world.together(*writers, self.store(), self.sample())
+        await self.world.together(self.rounds(), self.store(), self.sample())
         await self.world.store_faults(lose_answers=0)
         records = await self.history()
         last = records[-1]["revision"]
@@ -92,26 +91,47 @@
             wrong.append(f"instances do not reach revision {last}")
         return wrong
 
-    async def writer(self, number: int) -> None:
-        """Applies changed folders one after the other."""
-        author = f"writer-{number}"
-        draws = random.Random(f"{self.seed}/{author}")
-        folder = self.world.fleet.folder / author
+    async def rounds(self) -> None:
+        """Lets all writers change the configuration at the same time.
+
+        Half of them name the revision that they started from, so that all but
+        one of these must lose.
+        """
+        folders = [self.folder(number) for number in range(WRITERS)]
+        for turn in range(ROUNDS):
+            newest = max(await self.take())
+            await self.world.together(
+                *(
+                    self.change(folder, number, turn, newest)
+                    for number, folder in enumerate(folders)
+                )
+            )
+        self.writing = False
+
+    def folder(self, number: int) -> pathlib.Path:
+        """Returns a writer's copy of the example configuration."""
+        folder = self.world.fleet.folder / f"writer-{number}"
         source = pathlib.Path("examples") / self.world.fleet.deployment.name
         shutil.copytree(source, folder)
-        for turn in range(ROUNDS):
-            rate = 10 + number * ROUNDS + turn
-            text = f"[accounts.reports]\nrate = {rate}\nburst = {2 * rate}\n"
-            (folder / "90-race.toml").write_text(text)
-            await self.apply(author, folder)
-            await self.world.pause(draws.uniform(0.0, 0.4))
-        self.writing -= 1
-
-    async def apply(self, author: str, folder: pathlib.Path) -> None:
+        return folder
+
+    async def change(
+        self, folder: pathlib.Path, number: int, turn: int, newest: int
+    ) -> None:
+        """Applies one change."""
+        rate = 10 + number * ROUNDS + turn
+        text = f"[accounts.reports]\nrate = {rate}\nburst = {2 * rate}\n"
+        (folder / "90-race.toml").write_text(text)
+        base = ["--base", str(newest)] if number % 2 else []
+        await self.apply(folder.name, folder, base)
+
+    async def apply(
+        self, author: str, folder: pathlib.Path, base: list[str]
+    ) -> None:
         """Runs one command."""
         arguments = ["-m", "cicadafront.cli.main", "config", "apply"]
         arguments += [str(folder), "--json", "--author", author]
-        arguments += ["--store", self.world.fleet.store_url]
+        arguments += ["--store", self.world.fleet.store_url, *base]
         began = time.monotonic()
         ended: Any = await utils.getProcessOutputAndValue(
             sys.executable, arguments, env=dict(os.environ)
--- a/tests/system/soak.py
+++ b/tests/system/soak.py
@@ -39,6 +39,8 @@
         repeatable: Whether the route may run it more than once.
         keyed: Whether it carries an `Idempotency-Key`.
         open: Whether the route needs no key of a client account.
+        wrong_key: Whether it carries a key that was never given, so that it
+            must be refused as not run.
     """
 
     method: str
@@ -46,6 +48,7 @@
     repeatable: bool = False
     keyed: bool = False
     open: bool = False
+    wrong_key: bool = False
 
 
 KINDS = (
@@ -55,8 +58,9 @@
     Kind("POST", "/payments/"),
     Kind("POST", "/rounds/bookings/", keyed=True),
     Kind("GET", "/open/hours/", repeatable=True, open=True),
+    Kind("POST", "/payments/", wrong_key=True),
 )
-WEIGHTS = (6, 3, 6, 2, 2, 1)
+WEIGHTS = (6, 3, 6, 2, 2, 1, 1)
 TARGET_FAULTS = ("stall", "mangle", "truncate", "cross", "error", "reset")
 
 
@@ -162,6 +166,8 @@
         if kind.keyed:
             headers["Idempotency_Key"] = request
         token = "" if kind.open else world.TOKENS[account]
+        if kind.wrong_key:
+            token += "-wrong"
         caller = callers.Caller(self.world.reactor, token, CALL_SECONDS)
         url = f"{entry}{kind.prefix}{request}"
         answer = await caller.send(kind.method, url, body, **headers)
