Start the test daemons with the operators' changes, and print known red tests

The runner printed no known red tests. Change: the test daemon passes the argument; the runner prints each known red test.

--- a/tests/run.py
+++ b/tests/run.py
@@ -50,6 +50,9 @@
         return name, 0, 1, 0, done.stdout + done.stderr
     passed, failed, skipped = (int(count) for count in counts[1:])
     text = f"{name}: {passed} passed, {failed} failed in {spent:.1f} s"
+    for line in done.stdout.splitlines():
+        if line.startswith("known red: "):
+            text += f"\n{line}"
     if failed or done.returncode:
         text += "\n" + done.stdout + done.stderr
     return name, passed, max(failed, int(done.returncode != 0)), skipped, text
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -12,7 +12,7 @@
 
 import attrs
 import eliot
-from twisted.internet import reactor, stdio
+from twisted.internet import defer, reactor, stdio
 from twisted.protocols import basic
 from twisted.web import server
 
@@ -85,12 +85,17 @@
         )
 
 
+def _no_shards(number: int) -> "defer.Deferred[operators.Json]":
+    return defer.succeed({})
+
+
 def _serve_operators(served: agent.Agent) -> int:
     views = operators.Views(
         ready=str, status=dict, instances=list, targets=list, accounts=list
     )
+    changes = operators.Changes(release=_no_shards, clear=_no_shards)
     endpoints = operators.OperatorEndpoints(
-        views, served.metrics, served.tracer
+        views, served.metrics, served.tracer, changes
     )
     site = server.Site(endpoints.resource())
     return reactor.listenTCP(0, site, interface=HOST).getHost().port
