Test the counts that /v1/accounts shows

Cause: the listing of client accounts with their counts was built in the views, where no test reached it. Change: the counted admission builds the items and drops the counts of accounts that are no longer configured. Conclusion: the listing is bounded by the configured accounts.

--- a/src/cicadafront/daemon/counted.py
+++ b/src/cicadafront/daemon/counted.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 from twisted.internet import defer
 from twisted.python import failure
 
@@ -44,11 +45,25 @@
         self.refused[id] += 1
         return reason
 
-    def forget(self, known: config_model.Configuration) -> None:
-        """Drops accounts that were removed, so that the counts stay bounded."""
+    def items(
+        self, known: config_model.Configuration
+    ) -> list[dict[str, object]]:
+        """Returns the configured accounts with their counts.
+
+        Counts of removed accounts are dropped, so that they stay bounded.
+        """
+        accounts = known.accounts
         for counts in (self.admitted, self.refused):
-            for id in counts.keys() - known.accounts.keys():
+            for id in counts.keys() - accounts.keys():
                 del counts[id]
+        return [
+            {
+                **attrs.asdict(accounts[id]),
+                "admitted": self.admitted[id],
+                "refused": self.refused[id],
+            }
+            for id in sorted(accounts)
+        ]
 
 
 class CountedRecords:
--- a/src/cicadafront/daemon/views.py
+++ b/src/cicadafront/daemon/views.py
@@ -86,17 +86,7 @@
 
     def accounts(self) -> list[operators.Json]:
         """Returns the client accounts with their use on this instance."""
-        configuration = self.parts.held.configuration
-        counts = self.parts.admission
-        counts.forget(configuration)
-        return [
-            {
-                **attrs.asdict(configuration.accounts[id]),
-                "admitted": counts.admitted[id],
-                "refused": counts.refused[id],
-            }
-            for id in sorted(configuration.accounts)
-        ]
+        return self.parts.admission.items(self.parts.held.configuration)
 
 
 def _address(address: tuple[str, int]) -> str:
--- a/tests/daemon/test_counted.py
+++ b/tests/daemon/test_counted.py
@@ -42,7 +42,11 @@
         self.assertIs(failed[0].value, refusal)
         self.assertEqual(admission.admitted, {"amani": 1})
         self.assertEqual(admission.refused, {"amani": 1})
-        admission.forget(config_model.Configuration())
+        known = config_model.Configuration(accounts={"amani": AMANI})
+        item = {"id": "amani", "rate": 10, "burst": 20, "weight": AMANI.weight}
+        item.update(admitted=1, refused=1)
+        self.assertEqual(admission.items(known), [item])
+        self.assertEqual(admission.items(config_model.Configuration()), [])
         self.assertEqual((admission.admitted, admission.refused), ({}, {}))
 
     @parameterized.expand(
