Let the demo fail when a step fails, and keep its load within the rate

Cause: task.react ends the process itself with 0, so that the demo's exit code was 0 whatever its steps showed; the run for pancierova printed FAILED (36 of 2,003 reads) and exited 0. Those reads exceeded the account: 2,003 sent in 16 s against 100 requests/s and a burst of 300. Change: the demo raises SystemExit with its code; each deployment has a read rate within its account's; tests.emulator.test_demo runs both endings and fails without the change (0 instead of 1).

--- a/src/cicadafront/emulator/demo.py
+++ b/src/cicadafront/emulator/demo.py
@@ -10,7 +10,6 @@
 import pathlib
 import random
 import signal
-import sys
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -256,8 +255,8 @@
         return done and not failed, seen
 
     def _read_load(self) -> load.LoadOptions:
-        # 20 requests/s for each of the six targets.
-        reading = load.AccountLoad("reader", self.paths.reader, 120.0)
+        rate = self.paths.read_rate
+        reading = load.AccountLoad("reader", self.paths.reader, rate)
         return load.LoadOptions(
             entries=tuple(self.entries),
             accounts=(reading,),
@@ -397,8 +396,8 @@
     return 0 if all(result.held for result in demo.results) else 1
 
 
-def main(arguments: list[str] | None = None) -> int:
-    """Runs the demo for one deployment."""
+def main(arguments: list[str] | None = None) -> None:
+    """Runs the demo for one deployment and ends with its exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "--deployment", choices=processes.DEPLOYMENTS, default="kaburi"
@@ -408,14 +407,13 @@
     fleet = processes.LocalFleet(
         processes.DEPLOYMENTS[options.deployment], options.seed
     )
-    codes: list[int] = []
 
     async def run(reactor: Any) -> None:
-        codes.append(await demonstrate(reactor, fleet))
+        # `react` ends the process itself, with 0 unless this is raised.
+        raise SystemExit(await demonstrate(reactor, fleet))
 
     task.react(lambda reactor: defer.ensureDeferred(run(reactor)), [])
-    return codes[0]
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/cicadafront/emulator/demo_paths.py
+++ b/src/cicadafront/emulator/demo_paths.py
@@ -9,6 +9,7 @@
 
     Attributes:
         read: Path of a repeatable read and its service.
+        read_rate: Reads per second of the load; within the reader's rate.
         upload: Path of a large upload.
         payment: Path of a non-repeatable request.
         reader: Token of the reading account.
@@ -20,6 +21,7 @@
 
     read: str
     read_service: str
+    read_rate: float
     upload: str
     payment: str
     payment_service: str
@@ -38,6 +40,7 @@
     "kaburi": Paths(
         read="/rounds/today",
         read_service="rounds",
+        read_rate=120.0,
         upload="/proofs/photo-1",
         payment="/payments/1",
         payment_service="ledger",
@@ -50,6 +53,7 @@
     "pancierova": Paths(
         read="/chambers/1",
         read_service="chambers",
+        read_rate=90.0,
         upload="/intake/file-1",
         payment="/bookings/1",
         payment_service="bookings",
--- /dev/null
+++ b/tests/emulator/test_demo.py
@@ -0,0 +1,31 @@
+"""Tests of the demo's exit code."""
+
+import subprocess
+import sys
+import unittest
+
+from parameterized import parameterized
+
+_SCRIPT = """
+from cicadafront.emulator import demo, processes
+
+async def demonstrate(reactor, fleet):
+    return {code}
+
+demo.demonstrate = demonstrate
+demo.main([])
+"""
+
+
+class ExitCodeTest(unittest.TestCase):
+    """Guards against a demo that reports success after a failed step."""
+
+    @parameterized.expand([(0,), (1,)])
+    def test_exit_code(self, code):
+        done = subprocess.run(
+            [sys.executable, "-c", _SCRIPT.format(code=code)],
+            capture_output=True,
+            timeout=60,
+            check=False,
+        )
+        self.assertEqual(done.returncode, code, done.stderr)
