--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from cicadafront import errors, model
+from cicadafront import dialect, errors, model
 from cicadafront.agent import idle, observer, queue, run, targets
 from cicadafront.peer import exchange
 from cicadafront.telemetry import metrics, tracing
@@ -32,6 +32,7 @@
         clock: Any,
         values: metrics.Metrics | None = None,
         tracer: tracing.Tracer | None = None,
+        words: dialect.Dialect = dialect.DEFAULT,
     ):
         self._local = local
         self.slots = slots
@@ -42,6 +43,7 @@
         self.tracer = tracer or tracing.Tracer("", clock.seconds)
         self.idle = idle.IdleConnections(clock, watcher)
         self.accepting = True
+        self.words = words
         self.running: set[run.Run] = set()
 
     def open(
--- a/src/cicadafront/agent/observer.py
+++ b/src/cicadafront/agent/observer.py
@@ -45,12 +45,19 @@
     seconds: float
 
 
+@attrs.frozen
+class Shed:
+    """The target states that it did not run the request."""
+
+    status: int
+
+
 @attrs.frozen
 class Cancelled:
     """The caller gave up; this says nothing about the target."""
 
 
-Outcome = Completed | Failed | Stalled | Cancelled
+Outcome = Completed | Failed | Stalled | Shed | Cancelled
 
 
 class Observer(Protocol):
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -5,7 +5,7 @@
 import random
 from typing import Any, Protocol
 
-from cicadafront import errors, headers, model
+from cicadafront import dialect, errors, headers, model
 from cicadafront.agent import (
     connection,
     idle,
@@ -19,17 +19,6 @@
 from cicadafront.peer import exchange
 from cicadafront.telemetry import metrics, tracing
 
-DEADLINE_HEADER = b"X-Deadline-Ms"
-ACCOUNT_HEADER = b"X-Client-Account"
-# Callers must not set these.
-_DROPPED = frozenset(
-    {
-        DEADLINE_HEADER.lower(),
-        ACCOUNT_HEADER.lower(),
-        verify.EXCHANGE_ID_HEADER.lower(),
-        tracing.TRACEPARENT,
-    }
-)
 # A caller learns of a possible crash after the other instances do, so that it
 # cannot send the request to one that does not know it yet.
 _HELD_KINDS = frozenset({"closed", "short"})
@@ -56,6 +45,7 @@
     tracer: tracing.Tracer
     metrics: metrics.Metrics
     running: "set[Run]"
+    words: dialect.Dialect
 
     def place(self, id: str) -> targets.LocalTarget:
         """Returns a target that takes work, or raises a `RequestError`."""
@@ -99,8 +89,16 @@
         self._head = _NO_HEAD
         self._held: list[bytes] = []
         self._answered = observer.Completed(0, 0.0)
-        exchange_id = b"%016x" % next(_EXCHANGE_IDS)
-        self._check = verify.AnswerCheck(exchange_id, request.head.method)
+        self._check = verify.AnswerCheck(
+            self._exchange_id(), request.head.method, owner.words
+        )
+
+    def _exchange_id(self) -> bytes:
+        words = self._agent.words
+        if words.caller_exchange_id:
+            fields = self._request.head.headers
+            return headers.value_of(fields, words.exchange_id_name)
+        return b"%016x" % next(_EXCHANGE_IDS)
 
     def start(self) -> None:
         """Asks for a slot."""
@@ -117,6 +115,10 @@
             request.weight,
             self._deadline,
             request.fingerprint,
+            request.insist,
+            request.priority,
+            request.repeatable,
+            request.objective,
         )
         self._timer = self._agent.clock.callLater(request.timeout, self._expire)
         self._agent.slots.submit(self._entry, self._connect, self.refuse)
@@ -206,22 +208,27 @@
             )
 
     def _request_head(self) -> model.RequestHead:
+        words = self._agent.words
         head = self._request.head
         remaining = self._deadline - self._agent.clock.seconds()
         millis = max(0, int(remaining * 1000))
         kept = [
             (name, value)
             for name, value in head.headers
-            if name.lower() not in _DROPPED
+            if name.lower() not in words.at_agent
         ]
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
-        kept.append((DEADLINE_HEADER, b"%d" % millis))
+        kept.append((words.deadline, b"%d" % millis))
         trace = self._trace.handed_over()
-        kept.append((b"Traceparent", trace.encode()))
-        kept.append((verify.EXCHANGE_ID_HEADER, self._check.exchange_id))
+        if words.traced:
+            kept.append((b"Traceparent", trace.encode()))
+        if not words.caller_exchange_id:
+            kept.append((words.exchange_id, self._check.exchange_id))
         if self._request.account:
-            kept.append((ACCOUNT_HEADER, self._request.account.encode()))
+            kept.append((words.account, self._request.account.encode()))
+        if words.expected_target:
+            kept.append((words.expected_target, self._request.target.encode()))
         return model.RequestHead(head.method, head.path, tuple(kept))
 
     # Answer, from the target.
@@ -232,6 +239,12 @@
         if checked is None:
             self.broken("crossed")
             return
+        if self._check.not_run(head):
+            self._shed(head)
+            return
+        if not self._check.genuine(head):
+            self.broken("mangled")
+            return
         self._trace.headed(head.status)
         self._judge()
         now = self._agent.clock.seconds()
@@ -240,6 +253,19 @@
         if not self._check.held:
             self._pass_head(now)
 
+    def _shed(self, head: model.ResponseHead) -> None:
+        """Ends an exchange that the target has refused to run."""
+        self._trace.headed(head.status)
+        self._close(observer.Shed(head.status), errors.TargetShedError.code)
+        self._response.fail(
+            errors.TargetShedError(
+                f"Target {self._request.target} refused the request with "
+                f"{head.status}; try again.",
+                retry_after=1.0,
+            ),
+            self._load(),
+        )
+
     def _pass_head(self, now: float) -> None:
         self._headed = True
         # The caller paces the rest of the answer, so its time is not judged.
--- a/src/cicadafront/agent/verify.py
+++ b/src/cicadafront/agent/verify.py
@@ -7,12 +7,11 @@
 import base64
 import binascii
 import hashlib
+import http
 import re
 
-from cicadafront import headers, model
+from cicadafront import dialect, headers, model
 
-EXCHANGE_ID_HEADER = b"X-Exchange-Id"
-_EXCHANGE_ID = EXCHANGE_ID_HEADER.lower()
 # Answers up to this size are passed on once they are complete and intact, so
 # that the entry can still try another target.
 HELD_BYTES = 64 * 1024
@@ -29,8 +28,14 @@
         held: Whether the answer is small enough to be held until its end.
     """
 
-    def __init__(self, exchange_id: bytes, method: str):
+    def __init__(
+        self,
+        exchange_id: bytes,
+        method: str,
+        words: dialect.Dialect = dialect.DEFAULT,
+    ):
         self.exchange_id = exchange_id
+        self._words = words
         self.held = False
         self._method = method
         self._expected: bytes | None = None
@@ -38,22 +43,44 @@
 
     def head(self, head: model.ResponseHead) -> model.ResponseHead | None:
         """Returns the head for the caller, or None for a crossed answer."""
-        copied = headers.value_of(head.headers, _EXCHANGE_ID)
+        name = self._words.exchange_id_name
+        copied = headers.value_of(head.headers, name)
         if copied and copied != self.exchange_id:
             return None
         if self._method != "HEAD" and head.status not in _BODILESS:
             self._expected = _digest(head.headers)
             length = headers.value_of(head.headers, b"content-length")
             self.held = length.isdigit() and 0 < int(length) <= HELD_BYTES
-        if not copied:
+        if not copied or self._words.caller_exchange_id:
             return head
         kept = tuple(
-            (name, value)
-            for name, value in head.headers
-            if name.lower() != _EXCHANGE_ID
+            (field, value)
+            for field, value in head.headers
+            if field.lower() != name
         )
         return model.ResponseHead(head.status, kept)
 
+    def genuine(self, head: model.ResponseHead) -> bool:
+        """Tells whether a success comes from the target as it was sent.
+
+        Callers accept no encoding, so a success with one was changed on its
+        way.
+        """
+        if not self._words.proof or not 200 <= head.status < 300:
+            return True
+        proven = headers.value_of(head.headers, self._words.proof_name)
+        coded = headers.value_of(head.headers, b"content-encoding")
+        return bool(proven) and not coded
+
+    def not_run(self, head: model.ResponseHead) -> bool:
+        """Tells whether the target states that it did not run the request."""
+        if not self._words.not_executed:
+            return False
+        if head.status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            return True
+        stated = headers.value_of(head.headers, self._words.not_executed_name)
+        return bool(stated) and head.status >= 400
+
     def body(self, data: bytes) -> None:
         """Takes a piece of the body."""
         if self._expected is not None:
--- a/src/cicadafront/config/current.py
+++ b/src/cicadafront/config/current.py
@@ -50,6 +50,12 @@
             return False
         configuration = cache.build(manifest)
         self.manifest = manifest
+        return self.replace(configuration)
+
+    def replace(self, configuration: model.Configuration) -> bool:
+        """Puts a configuration in force if it is newer."""
+        if not self.newer(configuration.revision):
+            return False
         self.configuration = configuration
         for handler in list(self._handlers):
             try:
--- a/src/cicadafront/config/model.py
+++ b/src/cicadafront/config/model.py
@@ -2,10 +2,13 @@
 
 import hashlib
 import hmac
+from collections.abc import Iterable
 
 import attrs
 
 TOKEN_PREFIX = "cf"
+# Targets that get one request unless the route says otherwise.
+MAX_ATTEMPTS = 4
 
 
 @attrs.frozen
@@ -14,15 +17,19 @@
 
     Attributes:
         id: Name of the account.
-        rate: Admitted requests per second over the whole fleet.
+        rate: Admitted requests per second over the whole fleet; 0 for no
+            limit.
         burst: Requests that may be admitted at once.
         weight: Share of a contended queue relative to other accounts.
+        priority: Rank of its requests in place of the route's, 0 highest;
+            None leaves the route's.
     """
 
     id: str
     rate: float
     burst: float
     weight: float = 1.0
+    priority: int | None = None
 
 
 @attrs.frozen
@@ -47,6 +54,36 @@
     floor: float = 0.5
 
 
+@attrs.frozen
+class Share:
+    """Part of a route's requests that goes to one service."""
+
+    service: str
+    weight: float
+
+
+def _shares(values: Iterable[Share]) -> tuple[Share, ...]:
+    # Codecs of stored parts turn tuples into lists.
+    return tuple(values)
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller's connection may send, and how long it may take.
+
+    Attributes:
+        head_bytes: Largest head of a request.
+        body_bytes: Largest body of a request.
+        head_seconds: Time for a head to arrive.
+        idle_seconds: Time without a request after which a connection closes.
+    """
+
+    head_bytes: int
+    body_bytes: int
+    head_seconds: float
+    idle_seconds: float
+
+
 @attrs.frozen
 class Route:
     """A rule that maps requests to a service.
@@ -59,6 +96,13 @@
         open: Whether requests need no key.
         repeatable: Whether a request may run more than once.
         timeout: Seconds until the answer must be complete.
+        host: Host that the route serves; empty for all hosts.
+        attempts: Targets that may get one request.
+        objective: Seconds within which callers want the answer; 0 if the
+            operators name none.
+        priority: Rank in a queue, 0 highest.
+        split: Services that share the requests by weight, in place of
+            `service`.
     """
 
     id: str
@@ -68,6 +112,20 @@
     open: bool = False
     repeatable: bool = False
     timeout: float = 30.0
+    host: str = ""
+    attempts: int = MAX_ATTEMPTS
+    objective: float = 0.0
+    priority: int = 0
+    split: tuple[Share, ...] = attrs.field(default=(), converter=_shares)
+
+    def serves(self, service: str) -> bool:
+        """Returns whether the route may send requests to a service."""
+        if not self.split:
+            return service == self.service
+        return any(
+            share.service == service and share.weight > 0
+            for share in self.split
+        )
 
 
 def parse_token(token: str) -> tuple[str, str] | None:
@@ -85,7 +143,19 @@
 
 @attrs.frozen
 class Configuration:
-    """One accepted revision of the merged configuration."""
+    """One accepted revision of the merged configuration.
+
+    Attributes:
+        revision: Number that grows with each accepted change.
+        digest: Hash of the content.
+        accounts: Client accounts by id.
+        keys: Keys of the product's own form by id.
+        services: Services by name.
+        routes: Routes by id.
+        opaque_keys: Account ids by the SHA-256 digest of a key that has no
+            form of its own.
+        limits: Limits of callers' connections, or None for the usual ones.
+    """
 
     revision: int = 0
     digest: bytes = b""
@@ -93,26 +163,40 @@
     keys: dict[str, Key] = attrs.field(factory=dict)
     services: dict[str, Service] = attrs.field(factory=dict)
     routes: dict[str, Route] = attrs.field(factory=dict)
-    _by_prefix: dict[str, list[Route]] = attrs.field(
+    opaque_keys: dict[bytes, str] = attrs.field(factory=dict, repr=False)
+    limits: CallerLimits | None = None
+    _by_prefix: dict[tuple[str, str], list[Route]] = attrs.field(
         init=False, eq=False, repr=False
     )
 
     @_by_prefix.default
-    def _index_routes(self) -> dict[str, list[Route]]:
-        index: dict[str, list[Route]] = {}
+    def _index_routes(self) -> dict[tuple[str, str], list[Route]]:
+        index: dict[tuple[str, str], list[Route]] = {}
         for route in self.routes.values():
-            index.setdefault(route.prefix.rstrip("/"), []).append(route)
+            place = route.host, route.prefix.rstrip("/")
+            index.setdefault(place, []).append(route)
         for routes in index.values():
             # Routes that name the method go before those that take all, so
             # that the choice does not depend on the order of the entries.
             routes.sort(key=lambda route: (not route.methods, route.id))
         return index
 
-    def route_for(self, method: str, path: str) -> Route | None:
-        """Returns the route with the longest prefix that takes the method."""
-        prefix = path.split("?", 1)[0].rstrip("/")
+    def route_for(self, method: str, path: str, host: str = "") -> Route | None:
+        """Returns the route with the longest prefix that takes the method.
+
+        Routes of the host go before those of all hosts.
+        """
+        found = self._route_of(host, method, path) if host else None
+        return found or self._route_of("", method, path)
+
+    def _route_of(self, host: str, method: str, path: str) -> Route | None:
+        path = path.split("?", 1)[0]
+        prefix = path.rstrip("/")
+        if host and not path.endswith("/"):
+            # A prefix of a host ends with a slash, so the path must have it.
+            prefix = prefix.rpartition("/")[0]
         while True:
-            for route in self._by_prefix.get(prefix, ()):
+            for route in self._by_prefix.get((host, prefix), ()):
                 if not route.methods or method in route.methods:
                     return route
             if not prefix:
@@ -121,6 +205,11 @@
 
     def account_for(self, token: str) -> ClientAccount | None:
         """Returns the account whose key the token carries, or None."""
+        if self.opaque_keys:
+            # Digests are compared, so timing tells nothing about a key.
+            return self.accounts.get(
+                self.opaque_keys.get(secret_digest(token), "")
+            )
         parsed = parse_token(token)
         if parsed is None:
             return None
--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.web import resource, server
 
-from cicadafront import model, ports, settings
+from cicadafront import model, ports, prober, settings
 from cicadafront.agent import queue
 from cicadafront.agent import targets as agent_targets
 from cicadafront.config import current, sync
@@ -125,7 +125,7 @@
         self.http_store = client.HttpStore(reactor, chosen.store_url)
         self.held = current.CurrentConfiguration()
         self.started = time.time()
-        self.prober = limits_assembly.TcpProber(reactor)
+        self.prober = prober.TcpProber(reactor)
         # Set by the composition root once the agent and the links exist.
         self.abandon: Callable[[str], None] = lambda _: None
         self.is_down: Callable[[str], bool] = lambda _: False
--- a/src/cicadafront/daemon/counted.py
+++ b/src/cicadafront/daemon/counted.py
@@ -17,6 +17,10 @@
     return errors.CicadafrontError.code
 
 
+def _is_set(field: "attrs.Attribute[object]", value: object) -> bool:
+    return value is not None
+
+
 class CountedAdmission:
     """Counts what an admission decides, by client account.
 
@@ -58,7 +62,7 @@
                 del counts[id]
         return [
             {
-                **attrs.asdict(accounts[id]),
+                **attrs.asdict(accounts[id], filter=_is_set),
                 "admitted": self.admitted[id],
                 "refused": self.refused[id],
             }
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -10,8 +10,10 @@
 from twisted.internet import reactor as default_reactor
 from twisted.python import failure
 
-from cicadafront import errors, settings
-from cicadafront.daemon import assembly, root
+from cicadafront import errors
+from cicadafront.config import schema
+from cicadafront.daemon import root
+from cicadafront.sidecar import settings as sidecar_settings
 from cicadafront.telemetry import logs
 
 EXIT_START_FAILED = 1
@@ -66,14 +68,37 @@
     )
     parsed = parser.parse_args(arguments)
     try:
-        chosen = settings.load(parsed.settings)
-    except errors.CicadafrontError as error:
+        content = _content(parsed.settings)
+        beside_target = sidecar_settings.selected(content)
+        start = _sidecar if beside_target else _instance
+        return start(parsed.settings, default_reactor)
+    except schema.InvalidConfigurationError as error:
         print(error.message, file=sys.stderr)
         return EXIT_SETTINGS_INVALID
-    reactor: Any = default_reactor
+
+
+def _content(path: pathlib.Path) -> bytes:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise schema.InvalidConfigurationError(
+            [
+                errors.ConfigError(
+                    str(path), "(file)", f"{error.strerror}; name a TOML file"
+                )
+            ]
+        ) from error
+
+
+def _instance(path: pathlib.Path, reactor: Any) -> int:
+    """Runs an instance with the product's own store and announcements."""
+    # The web framework of this deployment takes half of the other one's start.
+    from cicadafront import settings
+    from cicadafront.daemon import assembly
+
+    chosen = settings.load(path)
     reactor.seconds = since_boot
-    level = logs.Level[chosen.log_level.upper()]
-    logs.start(sys.stderr, chosen.instance, level)
+    logs.start(sys.stderr, chosen.instance, _level(chosen.log_level))
     built = assembly.FleetAssembly(reactor, chosen)
     daemon = root.Daemon(reactor, built.options, built.build)
     built.abandon = daemon.agent.abandon
@@ -81,5 +106,26 @@
     return run(daemon)
 
 
+def _sidecar(path: pathlib.Path, reactor: Any) -> int:
+    """Runs an instance beside one target of the platform."""
+    from cicadafront.sidecar import assembly, reload
+
+    chosen = sidecar_settings.load(path)
+    reactor.seconds = since_boot
+    pipe = logs.start_pipe(
+        sys.stdout.fileno(), chosen.instance, _level(chosen.log_level)
+    )
+    built = assembly.SidecarAssembly(reactor, chosen)
+    built.count_logs(pipe)
+    daemon = root.Daemon(reactor, built.options, built.build)
+    built.is_down = daemon.calls.is_down
+    reload.SettingsFile(path, reactor, chosen, built.change).start()
+    return run(daemon)
+
+
+def _level(name: str) -> logs.Level:
+    return logs.Level[name.upper()]
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/cicadafront/daemon/options.py
+++ b/src/cicadafront/daemon/options.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cicadafront.peer import pool
+
 
 def _incarnation() -> int:
     return int(time.time() * 1000)
@@ -22,6 +24,9 @@
         leave_seconds: Time from the announcement of a planned stop until new
             work for the targets is refused.
         stop_seconds: Limit of a planned stop.
+        accept_seconds: Time from the announcement of a planned stop for
+            which new callers are still accepted.
+        connect_seconds: Time limit of a connection to another instance.
     """
 
     instance: str
@@ -31,3 +36,5 @@
     incarnation: int = attrs.field(factory=_incarnation)
     leave_seconds: float = 2.0
     stop_seconds: float = 60.0
+    accept_seconds: float = 0.0
+    connect_seconds: float = pool.CONNECT_SECONDS
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, protocol, task
 from twisted.python import failure
 
-from cicadafront import ports
+from cicadafront import dialect, ports
 from cicadafront.agent import agent, observer, queue, targets
 from cicadafront.config import model as config_model
 from cicadafront.daemon import local, options, supervisor
@@ -55,6 +55,9 @@
         before_links: Supervised parts that start before the peer listener.
         after_links: Supervised parts that need the peer listener; they stop
             while the links are still open.
+        words: Header names of the deployment.
+        asking: How often and how firmly agents are asked for one request.
+        service_here: Returns the service beside which this instance runs.
     """
 
     directory: ports.Directory
@@ -83,6 +86,9 @@
     )
     before_links: list[supervisor.Part] = attrs.field(factory=list)
     after_links: list[supervisor.Part] = attrs.field(factory=list)
+    words: dialect.Dialect = dialect.DEFAULT
+    asking: policies.Asking = policies.Asking()
+    service_here: Callable[[], str] = lambda: ""
 
 
 FleetBuilder = Callable[[ports.PeerCalls], Fleet]
@@ -142,6 +148,7 @@
             reactor,
             fleet.metrics,
             fleet.tracer,
+            fleet.words,
         )
         self._build_edge()
         self._build_metrics()
@@ -163,7 +170,11 @@
             self._judge_path,
         )
         self.calls = pool.Pool(
-            services, self._address_of, self._reactor, handlers
+            services,
+            self._address_of,
+            self._reactor,
+            handlers,
+            connect_seconds=settings.connect_seconds,
         )
         self._peers = _PeerFactory(services)
 
@@ -188,10 +199,24 @@
             counts=self.counts,
             metrics=fleet.metrics,
             tracer=self.agent.tracer,
+            words=fleet.words,
+            asking=fleet.asking,
+            service_here=fleet.service_here,
+            rng=self._rng,
         )
         self._forwarder = forward.Forwarder(site)
-        self._edge = server.Site(self._forwarder, self._reactor, self.counts)
+        self._edge = server.Site(
+            self._forwarder, self._reactor, self.counts, words=fleet.words
+        )
         fleet.on_configuration(self._check_keys)
+        fleet.on_configuration(self._limit_callers)
+
+    def _limit_callers(self, new: config_model.Configuration) -> None:
+        if new.limits is not None:
+            self._edge.idle_seconds = new.limits.idle_seconds
+            self._edge.head_seconds = new.limits.head_seconds
+            self._edge.body_bytes = new.limits.body_bytes
+            self._edge.head_bytes = new.limits.head_bytes
 
     def _check_keys(self, new: config_model.Configuration) -> None:
         """Ends what callers with withdrawn keys have open here."""
@@ -299,13 +324,17 @@
     def _drain(self) -> Any:
         settings = self._settings
         began = self._reactor.seconds()
-        supervisor.log("leaving: no new connections are accepted.")
-        yield self._edge_port.stop()
+        supervisor.log("leaving: the fleet is told; running requests end.")
         self._edge.drain()
         self._fleet.announce_leaving()
+        # Callers that learn of the stop by the health check still come.
+        yield task.deferLater(self._reactor, settings.accept_seconds)
+        yield self._edge_port.stop()
+        supervisor.log("leaving: no new connections are accepted.")
         # Peers choose the targets here until they learn of the stop, and
         # callers may have sent a request on a connection that looks idle.
-        yield task.deferLater(self._reactor, settings.leave_seconds)
+        left = settings.leave_seconds - settings.accept_seconds
+        yield task.deferLater(self._reactor, max(0.0, left))
         self.agent.accepting = False
         self.agent.idle.close()
         self._edge.close_idle()
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -7,12 +7,15 @@
 from cicadafront.peer import exchange
 from cicadafront.telemetry import tracing
 
-MAX_ATTEMPTS = 4
-
 # Another attempt cannot mend these.
 _FINAL_CODES = frozenset(
     {"deadline_exceeded", "request_crashes_targets", "cancelled"}
 )
+# Targets that are not asked again for a request, however firmly.
+_SHUT_CODES = frozenset({"target_leaving", "no_target", "target_failed"})
+
+
+_SERVER_ERROR = 500
 
 
 class Parent(Protocol):
@@ -35,6 +38,9 @@
     def body_consumed(self, count: int) -> None:
         """A target took further bytes of the request body."""
 
+    def attempt_said(self, target: str, what: str) -> None:
+        """An attempt got an answer, or failed with an error code."""
+
 
 class Attempts:
     """Runs one request at one target after another.
@@ -56,7 +62,9 @@
         self.maybe_ran = False
         self._site = site
         self._order = wanted
-        self._service = wanted.route.service
+        self._service = wanted.service
+        by_route = site.asking.hedge_by_route
+        self._hedged_group = wanted.route.id if by_route else self._service
         self._body = body
         self._deadline = deadline
         self._fingerprint = fingerprint
@@ -68,10 +76,18 @@
         self._timer: Any = None
         self._began = 0.0
         self._count = 0
+        # Attempts that reached a target, or may have.
+        self._offered = 0
+        self._rounds = list(site.asking.rounds)
+        self._asked = 0
+        # Targets that are not asked again, and those asked in this round.
+        self._shut: set[str] = set()
         self._excluded: set[str] = set()
         self._cut_off: list[model.Target] = []
         self._relayed: set[str] = set()
         self._headed = False
+        # Whether the budget has paid for the retry that follows.
+        self._retry_paid = False
 
     @property
     def running(self) -> bool:
@@ -86,6 +102,8 @@
         """Makes the first attempt."""
         self._began = now = self._site.clock.seconds()
         self._site.budget.request(self._service, now)
+        if not self._rounds:
+            raise ValueError("asking needs at least one round")
         self._plan_hedge()
         self._try(policies.unavailable(self._service))
 
@@ -121,20 +139,42 @@
     def _try(self, otherwise: errors.RequestError) -> None:
         via = ""
         try:
-            target = self._pick()
+            target = self._next()
         except errors.RequestError as error:
             self._parent.answer_failed(error)
             return
         if target is None:
             target, via = self._by_relay()
         if target is None:
+            self._note_view()
             self._parent.answer_failed(otherwise)
             return
         self._current = self._opened(target, via)
         self._send(self._current, target, via)
 
+    def _note_view(self) -> None:
+        """Notes what is known of the service, for the log."""
+        known = self._site.targets(self._service)
+        serving = [t for t in known if t.state is model.TargetState.SERVING]
+        self._parent.attempt_said(
+            "-", f"known={len(known)},serving={len(serving)}"
+        )
+
+    def _next(self) -> model.Target | None:
+        """Returns the next candidate, of a later round if this one is over."""
+        while True:
+            found = None
+            if self._asked < self._rounds[0].most:
+                found = self._pick()
+            if found is not None or len(self._rounds) == 1:
+                return found
+            del self._rounds[0]
+            self._asked = 0
+            self._excluded = set(self._shut)
+
     def _opened(self, target: model.Target, via: str) -> attempt.Attempt:
         self._count += 1
+        self._asked += 1
         self._excluded.add(target.id)
         span = self._site.tracer.start(
             "link",
@@ -164,7 +204,7 @@
     def _plan_hedge(self) -> None:
         if not (self._order.is_read and self._body.complete):
             return
-        delay = self._site.hedges.delay(self._service)
+        delay = self._site.hedges.delay(self._hedged_group)
         if delay is not None and not self._body.size:
             clock = self._site.clock
             self._timer = clock.callLater(delay, self._start_hedge)
@@ -174,6 +214,10 @@
             self._timer.cancel()
 
     def _start_hedge(self) -> None:
+        running = sum(not copy.done for copy in self._copies())
+        limit = self._order.route.attempts
+        if self._site.asking.free and self._offered + running >= limit:
+            return
         try:
             target = self._pick_hedge()
         except errors.RequestError:
@@ -187,6 +231,7 @@
             return
         self._site.counts["hedges"] += 1
         self._hedge = self._opened(target, "")
+        self._parent.attempt_said(target.id, "hedged")
         self._send(self._hedge, target, "")
 
     def _pick_hedge(self) -> model.Target | None:
@@ -201,7 +246,7 @@
         self._disarm()
         seconds = self._site.clock.seconds() - self._began
         if self._order.is_read and not self._body.size:
-            self._site.hedges.answered(self._service, seconds)
+            self._site.hedges.answered(self._hedged_group, seconds)
         if self._hedge is None:
             return
         self._site.counts["hedges_won"] += winner is self._hedge
@@ -255,6 +300,9 @@
             weight=wanted.account.weight if wanted.account else 1.0,
             fingerprint=self._fingerprint,
             relay_to=target.instance if via else "",
+            insist=self._rounds[0].insist,
+            priority=wanted.priority,
+            objective=wanted.route.objective,
         )
 
     # From the current attempt.
@@ -268,8 +316,11 @@
         """Passes on the head of the answer."""
         now = self._site.clock.seconds()
         self._site.picker.observe(attempt.target.id, load, now)
-        self._headed = True
         self.maybe_ran = True
+        self._parent.attempt_said(attempt.target.id, str(head.status))
+        if head.status >= _SERVER_ERROR and self._retries_error(attempt, load):
+            return
+        self._headed = True
         self._win(attempt)
         self._parent.answer_head(head, load)
 
@@ -295,8 +346,15 @@
     ) -> None:
         """Tries another target, or gives up."""
         now = self._site.clock.seconds()
-        if error.executed is errors.Executed.UNKNOWN:
-            self.maybe_ran = True
+        reached = error.executed is errors.Executed.UNKNOWN
+        self.maybe_ran = self.maybe_ran or reached
+        self._parent.attempt_said(attempt.target.id, error.code)
+        reached = reached or error.code == errors.TargetShedError.code
+        self._offered += reached
+        if reached or error.code in _SHUT_CODES:
+            self._shut.add(attempt.target.id)
+        if error.code == errors.TargetDoubtedError.code:
+            self._site.picker.doubted(attempt.target.id, now)
         if error.code == errors.LinkLostError.code:
             self._cut(attempt.target)
         else:
@@ -307,7 +365,7 @@
             self._current, self._hedge = left, None
             return
         self._disarm()
-        if self._may_retry(error):
+        if self._may_retry(error, self._offered):
             self._site.counts["retries"] += 1
             self._try(error)
         else:
@@ -316,18 +374,49 @@
     def _cut(self, target: model.Target) -> None:
         self._cut_off.append(target)
         beside = self._site.targets(self._service)
-        self._excluded.update(
+        cut = {
             other.id for other in beside if other.instance == target.instance
-        )
-
-    def _may_retry(self, error: errors.RequestError) -> bool:
-        if self._headed or error.code in _FINAL_CODES:
+        }
+        self._excluded |= cut
+        self._shut |= cut
+
+    def _retries_error(
+        self, attempt: attempt.Attempt, load: exchange.Load
+    ) -> bool:
+        """Goes to another target in place of passing on a server error."""
+        if not self._site.asking.retry_errors:
             return False
-        if self._count >= MAX_ATTEMPTS or self._body.dropped:
+        error = errors.TargetFailedError(
+            f"Target {attempt.target.id} answered with a server error.",
+            executed=errors.Executed.UNKNOWN,
+        )
+        others = [copy for copy in self._copies() if copy is not attempt]
+        if all(copy.done for copy in others):
+            if not self._may_retry(error, self._offered + 1):
+                return False
+            self._retry_paid = True
+        attempt.cancel()
+        self.attempt_failed(attempt, error, load)
+        return True
+
+    def _may_retry(self, error: errors.RequestError, offered: int) -> bool:
+        if self._headed or error.code in _FINAL_CODES or self._body.dropped:
             return False
         if error.executed is errors.Executed.UNKNOWN and not (
             self._order.route.repeatable and self._body.whole()
         ):
             return False
+        paid, self._retry_paid = self._retry_paid, False
+        if paid:
+            return True
+        free = self._site.asking.free
+        if (
+            free
+            and error.executed is errors.Executed.NO
+            and error.code != errors.TargetShedError.code
+        ):
+            return True
+        if (offered if free else self._count) >= self._order.route.attempts:
+            return False
         now = self._site.clock.seconds()
         return self._site.budget.try_retry(self._service, now)
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -96,7 +96,7 @@
             return
         trace.routed(self._order)
         self._token = token
-        timeout = self._order.route.timeout
+        timeout = self._order.timeout
         self._deadline = self._site.clock.seconds() + timeout
         self._timer = self._site.clock.callLater(timeout, self._expire)
         if self._order.account is None:
@@ -219,6 +219,10 @@
         """Lets the caller send more of the body."""
         self._caller.consumed(count)
 
+    def attempt_said(self, target: str, what: str) -> None:
+        """Notes what became of one attempt."""
+        self._trace.said(target, what)
+
     # From the caller.
 
     def body(self, data: bytes) -> None:
@@ -306,8 +310,7 @@
 
     def _conclude(self, error: errors.RequestError) -> None:
         executed = self._settle(error.executed)
-        if executed is not error.executed:
-            error = _with_executed(error, executed)
+        error = _final(error, executed, self._site.words.short_waits)
         self._trace.failed(error)
         self._finish()
         self._caller.fail(error, exchange.Load())
@@ -371,15 +374,31 @@
     )
 
 
-def _with_executed(
-    error: errors.RequestError, executed: errors.Executed
+def _final(
+    error: errors.RequestError, executed: errors.Executed, honest: bool
 ) -> errors.RequestError:
+    """Returns the error with what is known of the request.
+
+    Args:
+        error: The error of the last attempt.
+        executed: Whether the request may have run in any attempt.
+        honest: Whether the status alone tells if the request ran.
+    """
+    status = error.status
+    if honest and executed is errors.Executed.NO and status >= 500:
+        status = 503
+    elif (
+        honest and executed is errors.Executed.UNKNOWN and status in (429, 503)
+    ):
+        status = 502
+    if executed is error.executed and status == error.status:
+        return error
     return errors.RequestError(
         error.message,
         executed=executed,
         retry_after=error.retry_after,
         code=error.code,
-        status=error.status,
+        status=status,
     )
 
 
--- a/src/cicadafront/edge/framing.py
+++ b/src/cicadafront/edge/framing.py
@@ -2,15 +2,13 @@
 
 import re
 import urllib.parse
+from collections.abc import Iterable
 
 import h11
 
-from cicadafront import errors, headers, model
+from cicadafront import dialect, errors, headers, model
 
 MAX_HEAD_BYTES = 32 * 1024
-# The edge answers `Expect` itself and never passes the key on.
-_DROPPED = frozenset({b"authorization", b"expect"})
-_BEARER = b"bearer "
 _ORIGIN = re.compile(r"[A-Za-z][A-Za-z0-9+.-]*://[^/?#]*")
 
 
@@ -20,10 +18,10 @@
     return len(request.method) + len(request.target) + 12 + lines
 
 
-def _check(request: h11.Request) -> None:
-    if _size(request) > MAX_HEAD_BYTES:
+def _check(request: h11.Request, most: int) -> None:
+    if _size(request) > most:
         raise errors.BadRequestError(
-            f"The head is larger than {MAX_HEAD_BYTES} bytes; send less.",
+            f"The head is larger than {most} bytes; send less.",
             code="head_too_large",
             status=431,
         )
@@ -62,7 +60,21 @@
     return path
 
 
-def request_head(request: h11.Request) -> tuple[model.RequestHead, str]:
+def _token(
+    fields: Iterable[tuple[bytes, bytes]], words: dialect.Dialect
+) -> str:
+    value = headers.value_of(fields, words.key_name)
+    scheme = words.key_scheme
+    if value[: len(scheme)].lower() != scheme:
+        return ""
+    return value[len(scheme) :].strip().decode("latin-1")
+
+
+def request_head(
+    request: h11.Request,
+    words: dialect.Dialect = dialect.DEFAULT,
+    most: int = MAX_HEAD_BYTES,
+) -> tuple[model.RequestHead, str]:
     """Returns the head to pass on and the caller's token, or "".
 
     A body of unknown length is marked by `Transfer-Encoding: chunked`, which
@@ -71,15 +83,11 @@
     Raises:
         BadRequestError: The head breaks a framing rule or a limit.
     """
-    _check(request)
+    _check(request, most)
     fields = request.headers.raw_items()
-    kept = headers.end_to_end(fields, _DROPPED)
+    kept = headers.end_to_end(fields, words.at_entry)
     if headers.value_of(fields, b"transfer-encoding"):
         kept += (headers.CHUNKED,)
-    authorization = headers.value_of(fields, b"authorization")
-    token = ""
-    if authorization[: len(_BEARER)].lower() == _BEARER:
-        token = authorization[len(_BEARER) :].strip().decode("latin-1")
     path = _path(request.target.decode("ascii"))
     head = model.RequestHead(request.method.decode("ascii"), path, kept)
-    return head, token
+    return head, _token(fields, words)
--- a/src/cicadafront/edge/order.py
+++ b/src/cicadafront/edge/order.py
@@ -1,5 +1,7 @@
 """What a request asks for: route, client account and idempotency key."""
 
+import math
+
 import attrs
 
 from cicadafront import errors, headers, model
@@ -22,12 +24,31 @@
         account: Client account, or None on open routes.
         key: Idempotency key, empty if there is none or the route is
             repeatable.
+        service: Service that runs the request.
+        timeout: Seconds until the answer must be complete.
     """
 
     head: model.RequestHead
     route: config_model.Route
     account: config_model.ClientAccount | None = None
     key: str = ""
+    service: str = attrs.field()
+    timeout: float = attrs.field()
+
+    @service.default
+    def _service_of_route(self) -> str:
+        return self.route.service
+
+    @timeout.default
+    def _timeout_of_route(self) -> float:
+        return self.route.timeout
+
+    @property
+    def priority(self) -> int:
+        """Rank in a queue, 0 highest."""
+        if self.account is not None and self.account.priority is not None:
+            return self.account.priority
+        return self.route.priority
 
     @property
     def is_read(self) -> bool:
@@ -52,7 +73,10 @@
             "This instance has no configuration yet; try again.",
             retry_after=1.0,
         )
-    route = configuration.route_for(head.method, head.path)
+    host = headers.value_of(head.headers, b"host").partition(b":")[0]
+    route = configuration.route_for(
+        head.method, head.path, host.decode("latin-1").lower()
+    )
     if route is None:
         raise errors.RouteNotFoundError(
             "No route takes this method and path; check both."
@@ -60,7 +84,15 @@
     account = None
     if not route.open:
         account = _account(site, configuration, token)
-    return Order(head, route, account, "" if route.repeatable else _key(head))
+    _check_exchange_id(site, head)
+    return Order(
+        _with_origin(site, head),
+        route,
+        account,
+        "" if route.repeatable else _key(head),
+        _choose_service(site, route),
+        _timeout(site, head, route),
+    )
 
 
 def still_valid(site: parts.Parts, order: Order, token: str) -> bool:
@@ -72,6 +104,53 @@
     return account is not None and account.id == order.account.id
 
 
+def _check_exchange_id(site: parts.Parts, head: model.RequestHead) -> None:
+    words = site.words
+    if words.caller_exchange_id and not headers.value_of(
+        head.headers, words.exchange_id_name
+    ):
+        raise errors.BadRequestError(
+            f"The request has no id; send one in {words.exchange_id.decode()}."
+        )
+
+
+def _with_origin(
+    site: parts.Parts, head: model.RequestHead
+) -> model.RequestHead:
+    """Adds the service beside which the request began."""
+    name = site.words.caller_service
+    if not name:
+        return head
+    origin = name, site.service_here().encode()
+    return attrs.evolve(head, headers=(*head.headers, origin))
+
+
+def _choose_service(site: parts.Parts, route: config_model.Route) -> str:
+    if not route.split:
+        return route.service
+    weights = [share.weight for share in route.split]
+    chosen = site.rng.choices(route.split, weights)[0]
+    return chosen.service
+
+
+def _timeout(
+    site: parts.Parts, head: model.RequestHead, route: config_model.Route
+) -> float:
+    """Returns the shorter of the route's limit and the caller's."""
+    words = site.words
+    if not words.caller_deadline:
+        return route.timeout
+    stated = headers.value_of(head.headers, words.deadline_name)
+    try:
+        millis = float(stated)
+    except ValueError:
+        # Absent, or no number: the route's limit holds.
+        return route.timeout
+    if not math.isfinite(millis):
+        return route.timeout
+    return max(0.0, min(route.timeout, millis / 1000))
+
+
 def _account(
     site: parts.Parts, configuration: config_model.Configuration, token: str
 ) -> config_model.ClientAccount:
@@ -83,7 +162,7 @@
     account = configuration.account_for(token)
     if account is None:
         raise errors.KeyUnknownError(
-            "The key is not valid; send `Authorization: Bearer <key>`."
+            f"The key is not valid; send one in {site.words.key.decode()}."
         )
     return account
 
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -1,12 +1,13 @@
 """What the entry uses of its instance."""
 
 import collections
+import random
 from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from cicadafront import model, ports
+from cicadafront import dialect, model, ports
 from cicadafront.config import model as config_model
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
@@ -34,6 +35,10 @@
         counts: Counts retries and dropped answers.
         metrics: Metrics of this instance.
         tracer: Spans of this instance.
+        words: Header names of the deployment.
+        asking: How often and how firmly agents are asked for one request.
+        service_here: Returns the service beside which this entry runs.
+        rng: Source of choices.
     """
 
     configuration: Callable[[], config_model.Configuration | None]
@@ -58,3 +63,7 @@
             takes_self=True,
         )
     )
+    words: dialect.Dialect = dialect.DEFAULT
+    asking: policies.Asking = policies.Asking()
+    service_here: Callable[[], str] = lambda: ""
+    rng: random.Random = attrs.field(factory=random.Random)
--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -7,9 +7,45 @@
 import attrs
 
 from cicadafront import errors, model
+from cicadafront.config import model as config_model
 from cicadafront.peer import exchange
 
 
+@attrs.frozen
+class Round:
+    """Candidates that are asked in the same way, one after the other.
+
+    Attributes:
+        insist: How firmly agents are asked: 0 for a free slot at a target
+            without doubts, 1 for a place in the queue, 2 also at a target
+            that is suspended.
+        most: Number of candidates.
+    """
+
+    insist: int
+    most: int
+
+
+@attrs.frozen
+class Asking:
+    """How agents are asked to take one request.
+
+    Attributes:
+        rounds: Rounds in their order.
+        free: Whether another agent may be asked without a part of the retry
+            budget when the request has not reached a target.
+        retry_errors: Whether a repeatable request whose target answers with
+            a server error goes to another one.
+        hedge_by_route: Whether hedges follow the latencies of the route and
+            not those of the service.
+    """
+
+    rounds: tuple[Round, ...] = (Round(1, config_model.MAX_ATTEMPTS),)
+    free: bool = False
+    retry_errors: bool = False
+    hedge_by_route: bool = False
+
+
 class Picker(Protocol):
     """Chooses targets."""
 
@@ -18,6 +54,9 @@
     ) -> model.Target | None:
         """Returns a target of the service, or None if none can take work."""
 
+    def doubted(self, target_id: str, now: float) -> None:
+        """Notes that an agent doubts its target."""
+
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
         """Notes the load that an agent reported."""
 
@@ -35,21 +74,26 @@
 class Hedges(Protocol):
     """Decides when a repeatable read gets a second attempt."""
 
-    def delay(self, service: str) -> float | None:
-        """Returns the seconds to wait for the head, or None for no hedge."""
+    def delay(self, group: str) -> float | None:
+        """Returns the seconds to wait for the head, or None for no hedge.
 
-    def answered(self, service: str, seconds: float) -> None:
+        Args:
+            group: Requests that take about the same time: those of a service
+                or of a route.
+        """
+
+    def answered(self, group: str, seconds: float) -> None:
         """Notes the time from the first attempt to the first head."""
 
 
 class NoHedges:
     """Never makes a second attempt."""
 
-    def delay(self, service: str) -> float | None:
+    def delay(self, group: str) -> float | None:
         """Hedges nothing."""
         return None
 
-    def answered(self, service: str, seconds: float) -> None:
+    def answered(self, group: str, seconds: float) -> None:
         """Ignores the time."""
 
 
@@ -108,6 +152,9 @@
             serving = self._rng.sample(serving, 2)
         return min(serving, key=self._pressure, default=None)
 
+    def doubted(self, target_id: str, now: float) -> None:
+        """Ignores doubts."""
+
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
         """Notes the load that an agent reported."""
         self._loads[target_id] = load
--- a/src/cicadafront/edge/problem.py
+++ b/src/cicadafront/edge/problem.py
@@ -18,8 +18,21 @@
         return "Error"
 
 
-def answer(error: errors.RequestError) -> tuple[model.ResponseHead, bytes]:
-    """Returns head and body of the answer for an error."""
+def _wait(seconds: float, short: bool) -> bytes:
+    if short:
+        return b"%.3f" % seconds
+    return b"%d" % max(1, math.ceil(seconds))
+
+
+def answer(
+    error: errors.RequestError, short_waits: bool = False
+) -> tuple[model.ResponseHead, bytes]:
+    """Returns head and body of the answer for an error.
+
+    Args:
+        error: The error.
+        short_waits: Whether `Retry-After` may have fractions of a second.
+    """
     fields = {
         "title": _title(error.status),
         "status": error.status,
@@ -34,7 +47,7 @@
     ]
     if error.status in _RETRIED or error.retry_after is not None:
         seconds = error.retry_after or _RETRY_AFTER_SECONDS
-        headers.append((b"Retry-After", b"%d" % max(1, math.ceil(seconds))))
+        headers.append((b"Retry-After", _wait(seconds, short_waits)))
     if error.status == http.HTTPStatus.UNAUTHORIZED:
         headers.append((b"WWW-Authenticate", b"Bearer"))
     return model.ResponseHead(error.status, tuple(headers)), body
--- a/src/cicadafront/edge/request_trace.py
+++ b/src/cicadafront/edge/request_trace.py
@@ -1,13 +1,19 @@
-"""Span and metrics of one request at the entry."""
+"""Span, metrics and log line of one request at the entry."""
 
 import attrs
 
-from cicadafront import errors, model
+from cicadafront import errors, headers, model
 from cicadafront.edge import order, parts
-from cicadafront.telemetry import tracing
+from cicadafront.telemetry import logs, tracing
+
+# Candidates that the log line of a request names.
+MAX_ASKED = 16
+
+_log = logs.Log("entry")
 
 OK = "ok"
 CANCELLED = "cancelled"
+_SERVER_ERROR = 500
 
 
 class RequestTrace:
@@ -15,6 +21,7 @@
 
     Attributes:
         context: Position in the trace below which the attempts are.
+        asked: What each asked target or agent said, and after how long.
     """
 
     def __init__(self, site: parts.Parts, head: model.RequestHead):
@@ -22,6 +29,14 @@
         self._began = site.clock.seconds()
         self._service = ""
         self._code = CANCELLED
+        self._id = headers.value_of(
+            head.headers, site.words.exchange_id_name
+        ).decode("latin-1")
+        self._status = 0
+        self._error: errors.RequestError | None = None
+        self._route = ""
+        self._account = ""
+        self.asked: list[str] = []
         above = tracing.context_of(head.headers)
         self.continued = above is not None
         self._span = site.tracer.start("entry", above or "", method=head.method)
@@ -42,11 +57,20 @@
 
     def routed(self, wanted: order.Order) -> None:
         """Notes the route."""
-        self._service = wanted.route.service
+        self._service = wanted.service
+        self._route = wanted.route.id
+        self._account = wanted.account_id
         self._span.fields.update(route=wanted.route.id, service=self._service)
 
+    def said(self, target: str, what: str) -> None:
+        """Notes what became of one attempt."""
+        if len(self.asked) < MAX_ASKED:
+            millis = round(self._seconds() * 1000)
+            self.asked.append(f"{target} {what} {millis}ms")
+
     def headed(self, status: int) -> None:
         """Notes the head of the answer."""
+        self._status = status
         self._span.fields["status"] = status
         self._site.metrics.observe(
             "entry_first_byte", self._seconds(), service=self._service
@@ -59,6 +83,7 @@
     def failed(self, error: errors.RequestError) -> None:
         """Notes the error that the caller gets."""
         self._code = error.code
+        self._error = error
         self._span.fields.update(code=error.code, executed=error.executed.value)
 
     def finish(self) -> None:
@@ -67,6 +92,8 @@
         if self._code == CANCELLED:
             self._span.fields["cancelled"] = True
         site.tracer.finish(self._span)
+        if self._code != OK or self._status >= _SERVER_ERROR:
+            self._write()
         site.metrics.count(
             "entry_requests", service=self._service, code=self._code
         )
@@ -74,5 +101,21 @@
             "entry_total", self._seconds(), service=self._service
         )
 
+    def _write(self) -> None:
+        """Writes why the request got no good answer."""
+        error = self._error
+        _log.info(
+            "a request got no good answer.",
+            request=self._id,
+            route=self._route,
+            service=self._service,
+            account=self._account,
+            code=self._code,
+            status=error.status if error else self._status,
+            executed=error.executed.value if error else "",
+            seconds=round(self._seconds(), 4),
+            asked=self.asked,
+        )
+
     def _seconds(self) -> float:
         return self._site.clock.seconds() - self._began
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -11,7 +11,7 @@
 from twisted.python import failure
 from zope.interface import implementer
 
-from cicadafront import errors, model, tcp
+from cicadafront import dialect, errors, headers, model, tcp
 from cicadafront.edge import answers, caller, framing, problem
 from cicadafront.peer import exchange, flow
 
@@ -43,6 +43,10 @@
         draining: Whether connections close after their current answer.
         connections: Open connections.
         idle_seconds: Time that a connection may wait for its next request.
+        head_seconds: Time that a caller may take to send a head.
+        words: Header names of the deployment.
+        head_bytes: Largest head of a request.
+        body_bytes: Largest body of a request, or 0 for any size.
     """
 
     handler: caller.Handler
@@ -51,6 +55,10 @@
     draining: bool = False
     connections: set["Connection"] = attrs.field(factory=set)
     idle_seconds: float = IDLE_SECONDS
+    head_seconds: float = HEAD_SECONDS
+    words: dialect.Dialect = dialect.DEFAULT
+    head_bytes: int = framing.MAX_HEAD_BYTES
+    body_bytes: int = 0
 
     def drain(self) -> None:
         """Lets each connection end with its current or next answer."""
@@ -101,7 +109,7 @@
         self._source = flow.Source(self.transport)
         self._drain = flow.Drain(self._passed_on)
         self.transport.registerProducer(self._drain, True)
-        self._arm(HEAD_SECONDS, self._slow_head)
+        self._arm(self._site.head_seconds, self._slow_head)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Takes bytes of requests."""
@@ -117,7 +125,7 @@
         self._process()
         # Most heads arrive at once and need no timer.
         if began and not (self._idle or self._answer or self._closing):
-            self._arm(HEAD_SECONDS, self._slow_head)
+            self._arm(self._site.head_seconds, self._slow_head)
 
     def readConnectionLost(self) -> None:  # noqa: N802
         """Treats a caller that closes its half as gone."""
@@ -179,7 +187,10 @@
         answer = answers.Answer(self, self._site.counts)
         self._answer = answer
         try:
-            head, token = framing.request_head(event)
+            head, token = framing.request_head(
+                event, self._site.words, self._site.head_bytes
+            )
+            self._check_length(head)
         except errors.RequestError as error:
             self._site.counts["heads_refused"] += 1
             answer.fail(error, exchange.Load())
@@ -189,6 +200,16 @@
         if not answer.done:
             self._request = request
 
+    def _check_length(self, head: model.RequestHead) -> None:
+        most = self._site.body_bytes
+        length = headers.value_of(head.headers, b"content-length")
+        if most and length.isdigit() and int(length) > most:
+            raise errors.BadRequestError(
+                f"The body is larger than {most} bytes; send less.",
+                code="body_too_large",
+                status=413,
+            )
+
     def _refuse(self, error: h11.RemoteProtocolError) -> None:
         self._site.counts["heads_refused"] += 1
         executed = errors.Executed.NO
@@ -214,7 +235,8 @@
             return
         self.answer_error(
             errors.BadRequestError(
-                f"The head took more than {HEAD_SECONDS:g} s; send it at once.",
+                f"The head took more than {self._site.head_seconds:g} s; send"
+                " it at once.",
                 code="head_timeout",
                 status=408,
             )
@@ -269,7 +291,8 @@
             return
         self._http.start_next_cycle()
         self._idle = not self._http.trailing_data[0]
-        seconds = self._site.idle_seconds if self._idle else HEAD_SECONDS
+        site = self._site
+        seconds = site.idle_seconds if self._idle else site.head_seconds
         self._arm(seconds, self._slow_head)
         self._ahead = 0
         self.transport.resumeProducing()
@@ -279,7 +302,7 @@
         """Answers with an error."""
         self._disarm()
         self._settle()
-        head, body = problem.answer(error)
+        head, body = problem.answer(error, self._site.words.short_waits)
         if self._http.their_state not in (h11.DONE, h11.MUST_CLOSE):
             head = attrs.evolve(head, headers=(*head.headers, _CLOSE))
         self.answer_head(head)
--- a/src/cicadafront/errors.py
+++ b/src/cicadafront/errors.py
@@ -136,6 +136,27 @@
     status = 503
 
 
+class TargetBusyError(RequestError):
+    """The target has no free slot, and the entry asked for one."""
+
+    code = "target_busy"
+    status = 503
+
+
+class TargetDoubtedError(RequestError):
+    """The target seems to stall, and other targets may not."""
+
+    code = "target_doubted"
+    status = 503
+
+
+class TargetShedError(RequestError):
+    """The target states that it did not run the request."""
+
+    code = "target_shed"
+    status = 503
+
+
 class DeadlineExceededError(RequestError):
     """The time limit of the route has passed."""
 
--- a/src/cicadafront/limits/assembly.py
+++ b/src/cicadafront/limits/assembly.py
@@ -1,12 +1,8 @@
 """Puts the parts of this package together for one process."""
 
 import random
-from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import error as internet_error
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.protocol import Factory, Protocol
 
 from cicadafront import ports
 from cicadafront.limits import calls, claims, records
@@ -17,8 +13,6 @@
 from cicadafront.limits.release import ShardReleases
 from cicadafront.limits.service import OwnershipService, Prober
 
-PROBE_SECONDS = 1.0
-
 
 class Limits:
     """Rates, records and shard ownership of one process.
@@ -95,26 +89,3 @@
     def stop(self) -> "defer.Deferred[None]":
         """Hands over all shards; the listener stays open until it fires."""
         return self.ownership.stop()
-
-
-class TcpProber:
-    """Tells whether a TCP address refuses connections."""
-
-    def __init__(self, reactor):
-        self._reactor = reactor
-
-    @defer.inlineCallbacks
-    def __call__(self, host: str, port: int):
-        """Returns True only if the connection was refused."""
-        endpoint = TCP4ClientEndpoint(
-            self._reactor, host, port, timeout=PROBE_SECONDS
-        )
-        try:
-            factory: Any = Factory.forProtocol(Protocol)
-            protocol = yield endpoint.connect(factory)
-        except internet_error.ConnectionRefusedError:
-            return True
-        except internet_error.ConnectError:
-            return False
-        protocol.transport.loseConnection()
-        return False
--- /dev/null
+++ b/src/cicadafront/limits/shares.py
@@ -0,0 +1,302 @@
+"""Rates over the whole fleet, without leases or stored state.
+
+Answers two loads: a client account that sends many times its rate through
+all instances, and accounts within their rate whose callers are spread
+unevenly. The tokens of an account are kept by the live instance that ranks
+first for it by rendezvous hash (its *keeper*). Other instances ask the keeper
+and hold what it grants for at most `CREDIT_SECONDS`.
+
+While two instances disagree about the keeper, two buckets exist; a new keeper
+starts with half a burst, which keeps the excess near the usual overage of a
+few seconds. An instance that cannot reach the keeper spends an equal share of
+the rate and no burst.
+"""
+
+import collections
+import hashlib
+import struct
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import attrs
+from twisted.internet import defer
+from twisted.python import failure
+
+from cicadafront import errors, ports
+from cicadafront.config import model as config_model
+from cicadafront.limits import tokens
+from cicadafront.telemetry import logs
+
+METHOD = "tokens"
+# Longest time for which granted tokens may be used; bounds what an account
+# can collect in many instances.
+CREDIT_SECONDS = 1.0
+# A keeper answers within a few milliseconds; a silent one must not delay a
+# request by more than a small part of its objective.
+CALL_SECONDS = 0.15
+# Time for which a keeper that did not answer is not asked again.
+SILENT_SECONDS = 1.0
+# Most tokens of one grant.
+MOST_GRANTED = 8
+# Part of the bucket that one grant may take, so that no instance empties it.
+GRANTED_SHARE = 0.1
+# Part of the burst with which a new keeper starts; the previous one may have
+# granted the rest.
+FIRST_SHARE = 0.5
+# Shortest advice to an account beyond its rate.
+LEAST_WAIT_SECONDS = 0.1
+
+_REQUEST = struct.Struct("!H")
+_ANSWER = struct.Struct("!Hf")
+
+_log = logs.Log("limits")
+
+Accounts = Callable[[str], "config_model.ClientAccount | None"]
+
+
+def keeper(account: str, instances: Iterable[str]) -> str | None:
+    """Returns the instance that keeps the tokens of an account, if any."""
+
+    def rank(instance: str) -> bytes:
+        return hashlib.blake2b(
+            f"{account}\0{instance}".encode(), digest_size=8
+        ).digest()
+
+    return max(instances, key=rank, default=None)
+
+
+class Ledger:
+    """Buckets of the accounts that this instance keeps."""
+
+    def __init__(self) -> None:
+        self._buckets: dict[str, tokens.Bucket] = {}
+
+    def grant(
+        self, now: float, account: config_model.ClientAccount, wanted: int
+    ) -> tuple[int, float]:
+        """Returns granted tokens, and the wait if there are none."""
+        bucket = self._buckets.get(account.id)
+        if bucket is None:
+            first = max(1.0, account.burst * FIRST_SHARE)
+            bucket = self._buckets[account.id] = tokens.Bucket(
+                account.rate, account.burst, first, now
+            )
+        elif (bucket.rate, bucket.burst) != (account.rate, account.burst):
+            bucket.limit(now, account.rate, account.burst)
+        bucket.refill(now)
+        spare = max(1, min(MOST_GRANTED, int(bucket.tokens * GRANTED_SHARE)))
+        granted = bucket.take(now, min(wanted, spare))
+        return granted, 0.0 if granted else bucket.wait(now)
+
+
+@attrs.define
+class _Credit:
+    left: int = 0
+    until: float = 0.0
+
+    def take(self, now: float) -> bool:
+        if now >= self.until or self.left < 1:
+            return False
+        self.left -= 1
+        return True
+
+
+@attrs.define
+class _Demand:
+    """Requests of one account that wait for the keeper's answer."""
+
+    waiting: "collections.deque[defer.Deferred[None]]" = attrs.field(
+        factory=collections.deque
+    )
+    asking: bool = False
+
+
+class SharedAdmission:
+    """Implements `ports.Admission` with keepers.
+
+    Attributes:
+        counts: Decisions by kind.
+
+    Args:
+        here: Id of this instance.
+        clock: Source of time and timers.
+        calls: Calls to other instances.
+        directory: Known instances.
+        accounts: Finds an account in the configuration in force.
+        isolated: Whether this instance seems to be cut off.
+    """
+
+    def __init__(
+        self,
+        here: str,
+        clock: Any,
+        calls: ports.PeerCalls,
+        directory: ports.Directory,
+        accounts: Accounts,
+        isolated: Callable[[], bool] = lambda: False,
+    ):
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._here = here
+        self._clock = clock
+        self._calls = calls
+        self._directory = directory
+        self._accounts = accounts
+        self._isolated = isolated
+        self._ledger = Ledger()
+        self._credits: dict[str, _Credit] = {}
+        self._demands: dict[str, _Demand] = {}
+        self._shares: dict[str, tokens.Bucket] = {}
+        self._silent: dict[str, float] = {}
+        self._ranked: dict[str, str | None] = {}
+        directory.on_change(self._ranked.clear)
+        calls.register(METHOD, self._serve)
+
+    def admit(
+        self, account: config_model.ClientAccount
+    ) -> "defer.Deferred[None]":
+        """Admits one request, or fails with `RateExceededError`."""
+        if account.rate <= 0:
+            return defer.succeed(None)
+        now = self._clock.seconds()
+        credit = self._credits.get(account.id)
+        if credit is not None and credit.take(now):
+            self.counts["credit"] += 1
+            return defer.succeed(None)
+        asked = self._keeper(now, account.id)
+        if asked == self._here and not self._isolated():
+            granted, wait = self._ledger.grant(now, account, 1)
+            self.counts["kept" if granted else "refused"] += 1
+            return self._decided(account, granted, wait)
+        if asked is None or asked == self._here:
+            return self._share(now, account)
+        demand = self._demands.setdefault(account.id, _Demand())
+        result: defer.Deferred[None] = defer.Deferred()
+        demand.waiting.append(result)
+        if not demand.asking:
+            self._ask(asked, account, demand)
+        return result
+
+    def _keeper(self, now: float, account: str) -> str | None:
+        """Returns the instance to ask, or None if it does not answer."""
+        if account not in self._ranked:
+            live = (
+                info.id
+                for info in self._directory.instances()
+                if info.alive and not info.leaving
+            )
+            self._ranked[account] = keeper(account, live)
+        found = self._ranked[account]
+        if found is not None and now < self._silent.get(found, 0.0):
+            return None
+        return found
+
+    def _ask(
+        self,
+        asked: str,
+        account: config_model.ClientAccount,
+        demand: _Demand,
+    ) -> None:
+        demand.asking = True
+        # One more than is waiting saves the next request the round trip.
+        wanted = min(MOST_GRANTED, len(demand.waiting) + 1)
+        body = _REQUEST.pack(wanted) + account.id.encode()
+        answered = self._calls.call(asked, METHOD, body, CALL_SECONDS)
+        answered.addCallback(self._answered, account, demand)
+        answered.addErrback(self._unanswered, asked, account, demand)
+
+    def _answered(
+        self,
+        answer: bytes,
+        account: config_model.ClientAccount,
+        demand: _Demand,
+    ) -> None:
+        demand.asking = False
+        granted, wait = _ANSWER.unpack(answer)
+        now = self._clock.seconds()
+        if not granted:
+            waiting = list(demand.waiting)
+            demand.waiting.clear()
+            self.counts["refused"] += len(waiting)
+            for result in waiting:
+                result.errback(_exceeded(account, wait))
+            return
+        credit = _Credit(granted, now + CREDIT_SECONDS)
+        self._credits[account.id] = credit
+        while demand.waiting and credit.take(now):
+            self.counts["granted"] += 1
+            demand.waiting.popleft().callback(None)
+        asked = self._keeper(now, account.id)
+        if not demand.waiting:
+            return
+        if asked is None or asked == self._here:
+            self._share_all(account, demand)
+        else:
+            self._ask(asked, account, demand)
+
+    def _unanswered(
+        self,
+        reason: failure.Failure,
+        asked: str,
+        account: config_model.ClientAccount,
+        demand: _Demand,
+    ) -> None:
+        demand.asking = False
+        self._silent[asked] = self._clock.seconds() + SILENT_SECONDS
+        _log.info(
+            "the keeper of a rate does not answer; an equal share is used.",
+            keeper=asked,
+            account=account.id,
+            reason=reason.getErrorMessage(),
+        )
+        self._share_all(account, demand)
+
+    def _share_all(
+        self, account: config_model.ClientAccount, demand: _Demand
+    ) -> None:
+        now = self._clock.seconds()
+        waiting = list(demand.waiting)
+        demand.waiting.clear()
+        for result in waiting:
+            self._share(now, account).chainDeferred(result)
+
+    def _share(
+        self, now: float, account: config_model.ClientAccount
+    ) -> "defer.Deferred[None]":
+        """Decides by an equal share of the rate."""
+        number = max(1, sum(1 for _ in self._directory.instances()))
+        rate = account.rate / number
+        bucket = self._shares.get(account.id)
+        if bucket is None:
+            bucket = tokens.Bucket(rate, 1.0, 1.0, now)
+            self._shares[account.id] = bucket
+        elif bucket.rate != rate:
+            bucket.limit(now, rate, 1.0)
+        granted = bucket.take(now, 1)
+        self.counts["shared" if granted else "share_refused"] += 1
+        return self._decided(account, granted, bucket.wait(now))
+
+    def _decided(
+        self, account: config_model.ClientAccount, granted: int, wait: float
+    ) -> "defer.Deferred[None]":
+        if granted:
+            return defer.succeed(None)
+        return defer.fail(_exceeded(account, wait))
+
+    def _serve(self, caller: str, body: bytes) -> bytes:
+        (wanted,) = _REQUEST.unpack_from(body)
+        account = self._accounts(body[_REQUEST.size :].decode())
+        if account is None or account.rate <= 0:
+            # The caller knows another revision; its own limit decides.
+            return _ANSWER.pack(1, 0.0)
+        now = self._clock.seconds()
+        return _ANSWER.pack(*self._ledger.grant(now, account, wanted))
+
+
+def _exceeded(
+    account: config_model.ClientAccount, wait: float
+) -> errors.RateExceededError:
+    return errors.RateExceededError(
+        f"Account {account.id} is beyond its rate of {account.rate:g} "
+        "requests/s; send less.",
+        retry_after=max(LEAST_WAIT_SECONDS, wait),
+    )
--- a/src/cicadafront/membership/budget.py
+++ b/src/cicadafront/membership/budget.py
@@ -31,14 +31,16 @@
 
     def __init__(self, now: float, rate: float = BYTES_PER_SECOND):
         self.rate = rate
-        self._level = BURST_BYTES
+        # A faster pace brings a larger burst, after the same quiet time.
+        self._burst = max(BURST_BYTES, BURST_BYTES / BYTES_PER_SECOND * rate)
+        self._level = self._burst
         self._updated = now
 
     def level(self, now: float) -> float:
         """Returns the bytes that may be sent at once."""
         if now > self._updated:
             gained = (now - self._updated) * self.rate
-            self._level = min(BURST_BYTES, self._level + gained)
+            self._level = min(self._burst, self._level + gained)
             self._updated = now
         return self._level
 
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -43,6 +43,23 @@
 _P = budget.Priority
 
 
+@attrs.frozen
+class Pace:
+    """How fast records spread; the default suits thousands of instances.
+
+    Attributes:
+        bytes_per_second: Mean of the bytes that an instance sends.
+        digest_seconds: Period at which an instance compares what it knows
+            with a random peer.
+        eager: Whether every change of a target is broadcast, and not only
+            those that take it out of use.
+    """
+
+    bytes_per_second: float = budget.BYTES_PER_SECOND
+    digest_seconds: float = DIGEST_SECONDS
+    eager: bool = False
+
+
 class Gossip:
     """Membership as one instance sees it.
 
@@ -57,15 +74,16 @@
         rng: random.Random,
         now: float,
         seeds: Sequence[records.Address] = (),
-        bytes_per_second: float = budget.BYTES_PER_SECOND,
+        pace: Pace = Pace(),
     ):
         self.counters = outbox.Counters()
         self._rng = rng
         self.seeds = [s for s in seeds if s != me.gossip_address]
-        self._state = state.State(me, rng, now)
+        self._pace = pace
+        self._state = state.State(me, rng, now, pace.eager)
         self._judge = self._state.judge
         self._known = self._state.known
-        self._budget = budget.ByteBudget(now, bytes_per_second)
+        self._budget = budget.ByteBudget(now, pace.bytes_per_second)
         broadcasts = broadcasting.Broadcasts()
         out = outbox.Outbox(
             self._known,
@@ -81,7 +99,7 @@
         self._due: dict[Callable[[float], list[Datagram]], float] = {
             self._probe: now + rng.uniform(0, judgement.PROBE_SECONDS),
             self._probe_dead: now + DEAD_PROBE_SECONDS,
-            self._send_digest: now + rng.uniform(0, DIGEST_SECONDS),
+            self._send_digest: now + rng.uniform(0, pace.digest_seconds),
             self._ask_seed: now,
             self._purge: now + PURGE_SECONDS,
         }
@@ -269,7 +287,8 @@
 
     def _send_digest(self, now: float) -> list[Datagram]:
         jitter = self._rng.uniform(0.8, 1.2)
-        self._due[self._send_digest] = now + DIGEST_SECONDS * jitter
+        period = self._pace.digest_seconds
+        self._due[self._send_digest] = now + period * jitter
         body = antientropy.digest(self._known)
         out: list[Datagram] = []
         for address in self._judge.random_peers(1, ()):
--- a/src/cicadafront/membership/state.py
+++ b/src/cicadafront/membership/state.py
@@ -32,7 +32,11 @@
     """
 
     def __init__(
-        self, me: records.InstanceRecord, rng: random.Random, now: float
+        self,
+        me: records.InstanceRecord,
+        rng: random.Random,
+        now: float,
+        eager: bool = False,
     ):
         self.known = table.Table()
         self.queue = dissemination.DisseminationQueue()
@@ -46,6 +50,7 @@
         self.fresh_claims = False
         self.superseded = False
         self._id = me.id
+        self._eager = eager
         self._version = 0
         self._store_own(now, me, urgent=False)
 
@@ -91,6 +96,10 @@
         )
         if record != held:
             urgent = record.state in _URGENT_STATES or record.gone
+            if self._eager:
+                urgent = True
+                # Without its owner, others cannot use a new target.
+                self.urgent[table.key_of(self.me)] = None
             self._store_own(now, record, urgent)
 
     def judged(self, now: float, record: records.InstanceRecord) -> None:
--- a/src/cicadafront/peer/codec.py
+++ b/src/cicadafront/peer/codec.py
@@ -159,6 +159,9 @@
     body.weight = request.weight
     body.fingerprint = request.fingerprint
     body.relayTo = request.relay_to
+    body.insist = request.insist
+    body.priority = request.priority
+    body.objectiveMs = int(request.objective * 1000)
     return message.to_bytes()
 
 
@@ -250,6 +253,9 @@
         weight=message.weight,
         fingerprint=bytes(message.fingerprint),
         relay_to=message.relayTo,
+        insist=message.insist,
+        priority=message.priority,
+        objective=message.objectiveMs / 1000,
     )
 
 
--- a/src/cicadafront/peer/exchange.py
+++ b/src/cicadafront/peer/exchange.py
@@ -42,6 +42,10 @@
         fingerprint: Digest that recognises the same request sent again.
         relay_to: Instance to which a third instance relays the request;
             empty when the receiver is the agent.
+        insist: How firmly the entry asks; see `edge.policies.Round`.
+        priority: Rank in a queue, 0 highest.
+        objective: Seconds within which the caller wants the answer; 0 if
+            unknown.
     """
 
     head: model.RequestHead
@@ -55,6 +59,9 @@
     weight: float = 1.0
     fingerprint: bytes = b""
     relay_to: str = ""
+    insist: int = 1
+    priority: int = 0
+    objective: float = 0.0
 
 
 class RequestSink(Protocol):
--- a/src/cicadafront/peer/peer.capnp
+++ b/src/cicadafront/peer/peer.capnp
@@ -23,6 +23,9 @@
   fingerprint @11 :Data;
   # Set when a third instance must relay the stream to this instance.
   relayTo @12 :Text;
+  insist @13 :UInt8;
+  priority @14 :UInt16;
+  objectiveMs @15 :UInt32;
 }
 
 struct Head {
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -31,6 +31,7 @@
         reactor: Any,
         handlers: dict[str, ports.CallHandler],
         max_links: int = MAX_LINKS,
+        connect_seconds: float = CONNECT_SECONDS,
     ):
         """Creates an empty pool.
 
@@ -40,12 +41,14 @@
             reactor: Opens TCP connections.
             handlers: Call handlers by method, shared with accepted links.
             max_links: Number of links above which idle ones are closed.
+            connect_seconds: Time limit of a connection.
         """
         self._services = services
         self._address_of = address_of
         self._reactor = reactor
         self._handlers = handlers
         self._max_links = max_links
+        self._connect_seconds = connect_seconds
         self._links: dict[str, link.Link] = {}
         self._down: dict[str, float] = {}
 
@@ -126,7 +129,9 @@
         made = link.Link(self._services, instance, self._closed)
         self._links[instance] = made
         self._make_room()
-        failed = tcp.connect(self._reactor, address, made, CONNECT_SECONDS)
+        failed = tcp.connect(
+            self._reactor, address, made, self._connect_seconds
+        )
         failed.addErrback(made.connectionLost)
         return made
 
--- /dev/null
+++ b/src/cicadafront/platform/http.py
@@ -0,0 +1,153 @@
+"""HTTP calls to the platform's store, each with its own time limit."""
+
+import collections
+from typing import Any
+
+import attrs
+from twisted.internet import defer, error
+
+from cicadafront import errors, model, tcp
+from cicadafront.agent import connection
+
+# Idle connections that are kept; one call and one watch run at a time.
+_KEPT = 2
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer of the store."""
+
+    status: int
+    body: bytes
+
+
+class _Call:
+    """One request on one connection; a `connection.Exchange`."""
+
+    def __init__(self, head: model.RequestHead, body: bytes):
+        self.done: defer.Deferred[Reply] = defer.Deferred()
+        self.connection: connection.TargetConnection | None = None
+        self._head = head
+        self._body = body
+        self._status = 0
+        self._pieces: list[bytes] = []
+
+    def connected(self, made: connection.TargetConnection) -> None:
+        self.connection = made
+        made.send_head(self._head)
+        if self._body:
+            made.send_body(self._body)
+        made.send_end()
+
+    def answer_head(self, head: model.ResponseHead) -> None:
+        self._status = head.status
+
+    def answer_body(self, data: bytes) -> None:
+        self._pieces.append(data)
+        if self.connection is not None:
+            self.connection.source.consumed(len(data))
+
+    def answer_end(self, reusable: bool, mangled: bool) -> None:
+        if not reusable:
+            self.connection = None
+        self._finish(Reply(self._status, b"".join(self._pieces)))
+
+    def broken(self, kind: str) -> None:
+        self.connection = None
+        if not self.done.called:
+            self.done.errback(
+                errors.StoreUnavailableError(
+                    f"The connection to the store was lost ({kind}); a write "
+                    "may have taken effect."
+                )
+            )
+
+    def body_consumed(self, count: int) -> None:
+        pass
+
+    def _finish(self, reply: Reply) -> None:
+        if not self.done.called:
+            self.done.callback(reply)
+
+
+class Client:
+    """Sends calls to one address and keeps idle connections.
+
+    A call is never repeated: a lost answer may follow a write that took
+    effect.
+    """
+
+    def __init__(self, reactor: Any, address: tuple[str, int]):
+        self._reactor = reactor
+        self._address = address
+        self._idle: collections.deque[connection.TargetConnection] = (
+            collections.deque()
+        )
+
+    def call(
+        self, method: str, path: str, body: bytes, seconds: float
+    ) -> "defer.Deferred[Reply]":
+        """Sends one call; fails with `StoreUnavailableError`.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON document, or no bytes.
+            seconds: Time limit.
+        """
+        host, port = self._address
+        fields = [(b"Host", f"{host}:{port}".encode())]
+        if body:
+            fields.append((b"Content-Type", b"application/json"))
+        if body or method == "POST":
+            fields.append((b"Content-Length", b"%d" % len(body)))
+        call = _Call(model.RequestHead(method, path, tuple(fields)), body)
+        self._start(call, seconds)
+        call.done.addTimeout(seconds, self._reactor, _timed_out)
+        call.done.addBoth(self._ended, call)
+        return call.done
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        while self._idle:
+            self._idle.popleft().abort()
+
+    def _start(self, call: _Call, seconds: float) -> None:
+        while self._idle:
+            # Longest idle connections may have gone silent; newest first.
+            found = self._idle.pop()
+            if found.peek() is None:
+                found.run(call)
+                return
+            found.abort()
+        made = connection.TargetConnection("store", self, call)
+        failed = tcp.connect(self._reactor, self._address, made, seconds)
+        failed.addErrback(lambda _: call.broken("refused"))
+
+    def _ended(self, result: Any, call: _Call) -> Any:
+        made, call.connection = call.connection, None
+        if made is None:
+            return result
+        if isinstance(result, Reply) and len(self._idle) < _KEPT:
+            self._idle.append(made)
+        else:
+            made.abort()
+        return result
+
+    # Owner of idle connections.
+
+    def lost(self, gone: connection.TargetConnection) -> None:
+        """An idle connection was closed."""
+        if gone in self._idle:
+            self._idle.remove(gone)
+
+    def stray(self, gone: connection.TargetConnection) -> None:
+        """Bytes arrived on an idle connection."""
+        self.lost(gone)
+
+
+def _timed_out(_result: Any, seconds: float) -> Any:
+    raise errors.StoreUnavailableError(
+        f"The store did not answer within {seconds:g} s; a write may have "
+        "taken effect."
+    ) from error.TimeoutError()
--- a/src/cicadafront/routing/picker.py
+++ b/src/cicadafront/routing/picker.py
@@ -17,10 +17,26 @@
 # A local target whose weight is below this share of its usual one is chosen
 # by weight among all, or a gray one would get every local request.
 LOCAL_SHARE = 0.5
+# Time for which a target is avoided after its agent has doubted it; a gray
+# spell lasts some seconds.
+DOUBTED_SECONDS = 1.0
 # A report of load is worth nothing after this time.
 LOAD_SECONDS = 2.0
 
 
+@attrs.frozen
+class Cold:
+    """How the load of a target grows after its start.
+
+    Attributes:
+        seconds: Time until it gets its whole share.
+        weight: Share that it gets at first, above 0 and at most 1.
+    """
+
+    seconds: float = COLD_SECONDS
+    weight: float = COLD_WEIGHT
+
+
 def _always(now: float, instance: str) -> bool:
     return True
 
@@ -46,6 +62,7 @@
             any state.
         usable: Whether the direct path to an instance works at a time.
         data_centre: Data centre of this entry.
+        cold: How the load of a target grows after its start.
     """
 
     def __init__(
@@ -54,12 +71,16 @@
         targets: Callable[[str], Sequence[model.Target]],
         usable: Callable[[float, str], bool] = _always,
         data_centre: str = "",
+        cold: Cold = Cold(),
     ) -> None:
         self._rng = rng
         self._targets = targets
         self._usable = usable
         self._data_centre = data_centre
+        self._cold = cold
         self._loads: dict[str, _Load] = {}
+        # Targets to avoid, with the time until which.
+        self._avoided: dict[str, float] = {}
 
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
         """Takes the load that a response or a refusal carries."""
@@ -82,6 +103,10 @@
         """Returns a target whatever its direct path, or None."""
         return self._pick(service, exclude, now, _always)
 
+    def doubted(self, target_id: str, now: float) -> None:
+        """Avoids a target for a while, as far as there are others."""
+        self._avoided[target_id] = now + DOUBTED_SECONDS
+
     def _pick(
         self,
         service: str,
@@ -99,11 +124,12 @@
         ]
         if not able:
             return None
+        able = self._trusted(able, now) or able
         near = [
             target
             for target in able
             if target.data_centre == self._data_centre
-            and _share(target, now) >= LOCAL_SHARE
+            and self._share(target, now) >= LOCAL_SHARE
         ]
         chosen = self._lighter(near, now) if near else None
         if chosen is None or self._utilisation(chosen, now) >= HEADROOM:
@@ -117,7 +143,7 @@
     def _lighter(
         self, targets: Sequence[model.Target], now: float
     ) -> model.Target:
-        weights = [_weight(target, now) for target in targets]
+        weights = [self._weight(target, now) for target in targets]
         pair = self._rng.choices(targets, weights, k=2)
         # Two draws of the same target would be no choice.
         if pair[0].id == pair[1].id and len(targets) > 1:
@@ -130,7 +156,8 @@
                 [target for target, _ in rest], [weight for _, weight in rest]
             )[0]
             # A target of low weight gets no second chance to be drawn.
-            if _weight(drawn, now) >= _weight(pair[0], now) / 2:
+            heavy = self._weight(pair[0], now)
+            if self._weight(drawn, now) >= heavy / 2:
                 pair[1] = drawn
         return min(pair, key=lambda target: self._utilisation(target, now))
 
@@ -140,12 +167,22 @@
             return 0.0
         return load.at(now) / max(1, target.slots)
 
-
-def _weight(target: model.Target, now: float) -> float:
-    return target.slots * _share(target, now)
-
-
-def _share(target: model.Target, now: float) -> float:
-    age = max(0.0, now - target.warm_since)
-    ramp = COLD_WEIGHT + (1 - COLD_WEIGHT) * age / COLD_SECONDS
-    return target.weight * min(1.0, ramp)
+    def _trusted(
+        self, targets: Sequence[model.Target], now: float
+    ) -> list[model.Target]:
+        """Returns the targets that no agent doubted lately."""
+        if not self._avoided:
+            return list(targets)
+        self._avoided = {
+            id: until for id, until in self._avoided.items() if until > now
+        }
+        return [t for t in targets if t.id not in self._avoided]
+
+    def _weight(self, target: model.Target, now: float) -> float:
+        return target.slots * self._share(target, now)
+
+    def _share(self, target: model.Target, now: float) -> float:
+        age = max(0.0, now - target.warm_since)
+        least = self._cold.weight
+        ramp = least + (1 - least) * age / self._cold.seconds
+        return target.weight * min(1.0, ramp)
--- /dev/null
+++ b/src/cicadafront/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The deployment with one instance beside each target."""
--- /dev/null
+++ b/src/cicadafront/sidecar/assembly.py
@@ -0,0 +1,380 @@
+"""Composition root of an instance beside one target."""
+
+import http
+import random
+from collections.abc import Callable
+from typing import Any
+
+from cicadafront import model, ports, prober
+from cicadafront.agent import queue
+from cicadafront.config import current, follow
+from cicadafront.config import model as config_model
+from cicadafront.daemon import options, root, supervisor
+from cicadafront.edge import policies, server
+from cicadafront.health import crashes, paths
+from cicadafront.limits import shares
+from cicadafront.membership import (
+    beats,
+    gossip,
+    probing,
+    records,
+    registration,
+    service,
+)
+from cicadafront.platform import documents, heartbeats, store, words
+from cicadafront.routing import (
+    gate,
+    hedges,
+    picker,
+    retry,
+    retry_budgets,
+)
+from cicadafront.sidecar import endpoints, settings
+from cicadafront.telemetry import logs, metrics, tracing
+
+# Callers learn of a planned stop by the second health check that fails; the
+# platform sends one each second.
+ACCEPT_SECONDS = 2.5
+# Time between the end of a planned stop and the platform's SIGKILL.
+STOP_MARGIN_SECONDS = 0.6
+# Round trips take 1 ms; a lost opening packet is sent again after 1 s, when
+# another instance has long answered.
+CONNECT_SECONDS = 0.3
+# Targets of these sites are slow for 3 s after their start.
+COLD = picker.Cold(seconds=3.0, weight=0.4)
+# Candidates with a free slot, then places in a queue, then suspended targets.
+ASKING = policies.Asking(
+    (policies.Round(0, 6), policies.Round(1, 3), policies.Round(2, 2)),
+    free=True,
+    retry_errors=True,
+    hedge_by_route=True,
+)
+# Part of the fleet's retries that entries use, since each counts only its
+# own requests and they may all retry in the same window.
+RETRY_USED_SHARE = 0.6
+# Retries that an entry saves up: one, or quiet entries would add up.
+RETRIES_SAVED = 1.2
+# A target that joins must get work within two seconds. The bytes bound the
+# burst of announcements at the start of a fleet of 100 instances; a quiet
+# fleet uses a small part of them.
+PACE = gossip.Pace(bytes_per_second=4000.0, digest_seconds=1.5, eager=True)
+
+_log = logs.Log("sidecar")
+
+
+class SidecarAssembly:
+    """Builds the parts of one daemon that know the fleet and the platform.
+
+    Attributes:
+        options: Options of the request path.
+        metrics: Metrics of the instance.
+        held: The configuration in force.
+        leaving: Whether a planned stop has begun.
+    """
+
+    def __init__(self, reactor: Any, chosen: settings.SidecarSettings):
+        self.reactor = reactor
+        self.settings = chosen
+        self.options = options.DaemonOptions(
+            instance=chosen.instance,
+            data_centre=chosen.data_centre,
+            edge=chosen.edge,
+            peer=chosen.peer,
+            leave_seconds=ACCEPT_SECONDS,
+            accept_seconds=ACCEPT_SECONDS,
+            stop_seconds=chosen.stop_seconds - STOP_MARGIN_SECONDS,
+            connect_seconds=CONNECT_SECONDS,
+        )
+        self.rng = random.Random(random.SystemRandom().getrandbits(64))
+        self.metrics = metrics.Metrics()
+        self.tracer = tracing.Tracer(
+            chosen.instance, reactor.seconds, limit=tracing.FEW_SPANS
+        )
+        self.held = current.CurrentConfiguration()
+        self.store = store.Store(reactor, chosen.store)
+        self.prober = prober.TcpProber(reactor)
+        self.leaving = False
+        # Set by the composition root once the links exist.
+        self.is_down: Callable[[str], bool] = lambda _: False
+
+    def build(self, calls: ports.PeerCalls) -> root.Fleet:
+        """Creates the parts; a `root.FleetBuilder`."""
+        self.calls = calls
+        self._build_membership()
+        self._build_configuration()
+        self._build_decisions()
+        self._count()
+        return self._fleet()
+
+    def _build_membership(self) -> None:
+        chosen = self.settings
+        now = self.reactor.seconds()
+        me = records.InstanceRecord(
+            chosen.instance,
+            self.options.incarnation,
+            1,
+            chosen.data_centre,
+            chosen.peer,
+            chosen.gossip,
+        )
+        self.gossip = gossip.Gossip(me, self.rng, now, pace=PACE)
+        self.membership = service.MembershipService(
+            self.reactor, self.gossip, self.calls, self.rng
+        )
+        # The addresses of others come from the store.
+        self.membership.joined = False
+        self.directory = self.membership.directory
+        self.registration = registration.Registration(
+            chosen.instance,
+            chosen.gossip,
+            clock=self.reactor,
+            rng=self.rng,
+            store=self.store,
+            found=self._found,
+            alone=lambda: not self.gossip.peers(),
+        )
+
+    def _build_configuration(self) -> None:
+        self.follower = follow.Follower(
+            self.settings.instance,
+            words.CONFIGURATION_KEY,
+            documents.decode,
+            clock=self.reactor,
+            rng=self.rng,
+            store=self.store,
+            directory=self.directory,
+            broadcaster=self.membership.broadcaster,
+            calls=self.calls,
+            held=self.held,
+            on_return=self.registration.store_returned,
+        )
+
+    def _build_decisions(self) -> None:
+        self.crashes = crashes.Crashes(
+            self.reactor,
+            self.directory,
+            self.membership.broadcaster,
+            self._refuses,
+        )
+        self.gate = gate.Gate(
+            self.reactor,
+            self.crashes,
+            alone=self._must_run_alone,
+            shed=self._shed,
+        )
+        self.registry = beats.BeatRegistry(
+            self.gossip,
+            self.settings.instance,
+            self.settings.data_centre,
+            self.settings.target,
+            on_leaving=self.gate.empty,
+            on_gone=self.gate.forget,
+        )
+        self.admission = shares.SharedAdmission(
+            self.settings.instance,
+            self.reactor,
+            self.calls,
+            self.directory,
+            self._account,
+            lambda: self.gossip.isolated(self.reactor.seconds()),
+        )
+        self.paths = paths.Paths(self.rng)
+        self.picker = picker.Picker(
+            self.rng,
+            self.directory.targets,
+            self._usable,
+            self.settings.data_centre,
+            COLD,
+        )
+        self.budget = retry_budgets.RetryBudgets(self._allowance)
+
+    def _found(self, addresses: list[tuple[str, int]]) -> None:
+        seeds = [*self.gossip.seeds, *addresses]
+        me = self.settings.gossip
+        self.gossip.seeds = [
+            seed for seed in dict.fromkeys(seeds) if seed != me
+        ]
+        if not self.gossip.seeds:
+            # The first instance of the fleet has nobody to learn from.
+            self.membership.joined = True
+
+    def _usable(self, now: float, instance: str) -> bool:
+        # Silence of the gossip alone is no reason to refuse requests: links
+        # may work where datagrams are lost.
+        return (
+            not self.is_down(instance)
+            and self.paths.usable(now, instance)
+            and self.gossip.path(instance).strikes < probing.STRIKES
+        )
+
+    def _judge_path(self, instance: str, works: bool) -> None:
+        now = self.reactor.seconds()
+        if works:
+            self.paths.heard(now, instance)
+        else:
+            self.paths.open_failed(now, instance)
+
+    def _allowance(self) -> retry.Allowance:
+        chosen = self.settings
+        fleet = max(1, sum(1 for _ in self.gossip.instances()))
+        extra = chosen.retry_extra / chosen.retry_window_seconds / fleet
+        return retry.Allowance(
+            share=chosen.retry_share * RETRY_USED_SHARE,
+            per_second=extra * RETRY_USED_SHARE,
+            most=RETRIES_SAVED,
+        )
+
+    def _must_run_alone(self, entry: queue.Entry) -> bool:
+        return self.crashes.must_run_alone(entry.account, entry.fingerprint)
+
+    def _shed(self, target: str, status: int) -> None:
+        if status == http.HTTPStatus.MISDIRECTED_REQUEST:
+            self.registry.replaced(self.reactor.seconds(), target)
+
+    def _refuses(self, target: str) -> Any:
+        return self.prober(*self.registry.address)
+
+    def _objective(self, route: str) -> float:
+        found = self.held.configuration.routes.get(route)
+        return found.objective if found is not None else 0.0
+
+    def _account(self, id: str) -> config_model.ClientAccount | None:
+        return self.held.configuration.accounts.get(id)
+
+    def configuration(self) -> config_model.Configuration | None:
+        """Returns the configuration in force, or None before the first."""
+        return self.held.configuration if self.held.revision else None
+
+    def service_here(self) -> str:
+        """Returns the service of the target beside this instance."""
+        return self.registry.service or self.settings.service
+
+    def change(self, chosen: settings.SidecarSettings) -> None:
+        """Takes settings that changed; addresses need a restart."""
+        self.settings = chosen
+        self.registry.address = chosen.target
+
+    def count_logs(self, pipe: logs.Pipe) -> None:
+        """Counts the log lines that were not written."""
+        self.metrics.total_by(
+            "log_lines_dropped",
+            "reason",
+            lambda: {
+                "budget": logs.BUDGETS.dropped,
+                "reader": pipe.dropped,
+            },
+        )
+
+    # Endpoints.
+
+    def _ready(self, head: model.RequestHead, body: bytes) -> endpoints.Page:
+        if head.path.partition("?")[0] != words.READY_PATH:
+            return endpoints.Page(404)
+        ready = self.held.revision > 0 and not self.leaving
+        return endpoints.Page(200 if ready else 503)
+
+    def _heartbeat(
+        self, head: model.RequestHead, body: bytes
+    ) -> endpoints.Page:
+        called = words.target_call(head)
+        if called is None:
+            return endpoints.Page(404)
+        target, goodbye = called
+        now = self.reactor.seconds()
+        if goodbye:
+            self.registry.leaving(now, target, heartbeats.incarnation(body))
+            return endpoints.Page(200, heartbeats.ACCEPTED)
+        try:
+            beat = heartbeats.decode(target, body)
+        except heartbeats.HeartbeatError as error:
+            _log.info("a heartbeat was refused.", reason=error.message)
+            return endpoints.Page(400)
+        self.registry.heartbeat(now, beat)
+        return endpoints.Page(200, heartbeats.ACCEPTED)
+
+    def _metrics_page(
+        self, head: model.RequestHead, body: bytes
+    ) -> endpoints.Page:
+        return endpoints.Page(
+            200, self.metrics.text(), b"text/plain; version=0.0.4"
+        )
+
+    def _listener(
+        self,
+        name: str,
+        address: settings.Address,
+        answering: endpoints.Answering,
+    ) -> supervisor.Listener:
+        site = server.Site(endpoints.Endpoints(answering), self.reactor)
+        return supervisor.Listener(
+            name, self.reactor, address, server.Factory(site), self.rng
+        )
+
+    # Assembly.
+
+    def _count(self) -> None:
+        values = self.metrics
+        values.total_by("store_calls", "call", lambda: self.store.counts)
+        values.total_by("admissions", "kind", lambda: self.admission.counts)
+        values.total_by("heartbeats", "ignored", lambda: self.registry.counts)
+        values.gauge("configuration_revision", lambda: self.held.revision)
+        values.gauge("peers", lambda: len(self.gossip.peers()))
+
+    def _leave(self) -> None:
+        self.leaving = True
+        self.membership.leave()
+
+    def _parts(self) -> tuple[list[supervisor.Part], list[supervisor.Part]]:
+        chosen = self.settings
+        listeners: list[supervisor.Part] = [
+            self._listener(name, address, answering)
+            for name, address, answering in (
+                ("heartbeat listener", chosen.heartbeats, self._heartbeat),
+                ("readiness listener", chosen.readiness, self._ready),
+                ("metrics listener", chosen.metrics, self._metrics_page),
+            )
+        ]
+        steps: list[supervisor.Part] = [
+            supervisor.Step(name, part.start, part.stop)
+            for name, part in (
+                ("membership", self.membership),
+                ("configuration", self.follower),
+                ("registration", self.registration),
+            )
+        ]
+        periodic: list[supervisor.Part] = [
+            supervisor.Periodic(name, self.reactor, seconds, action, self.rng)
+            for name, seconds, action in (
+                ("gate", gate.TICK_SECONDS, self.gate.tick),
+                ("target", 1.0, self._expire),
+            )
+        ]
+        return listeners, [*steps, *periodic]
+
+    def _expire(self) -> None:
+        self.registry.expire(self.reactor.seconds())
+
+    def _fleet(self) -> root.Fleet:
+        before, after = self._parts()
+        return root.Fleet(
+            directory=self.directory,
+            beside=self.registry,
+            slots=self.gate,
+            watcher=self.gate,
+            suspects=self.crashes,
+            budget=self.budget,
+            hedges=hedges.ObjectiveHedges(self._objective),
+            picker=self.picker,
+            metrics=self.metrics,
+            tracer=self.tracer,
+            configuration=self.configuration,
+            on_configuration=self.held.on_change,
+            admission=self.admission,
+            judge_path=self._judge_path,
+            announce_leaving=self._leave,
+            before_links=before,
+            after_links=after,
+            words=words.DIALECT,
+            asking=ASKING,
+            service_here=self.service_here,
+        )
--- /dev/null
+++ b/src/cicadafront/sidecar/settings.py
@@ -0,0 +1,146 @@
+"""Settings of an instance beside one target, read from a TOML file.
+
+Example:
+    instance = "sidecar-dar-a-1"
+    data_centre = "dar-a"
+
+    [addresses]
+    edge = "10.1.0.26:8548"
+    peer = "10.1.0.26:7000"
+    gossip = "10.1.0.26:7000"
+    heartbeats = "10.1.0.26:8540"
+    readiness = "10.1.0.26:8546"
+    metrics = "10.1.0.26:7002"
+
+    [sidecar]
+    store = "10.200.1.7:8545"
+    target = "10.1.0.26:8547"
+    service = "rounds"
+"""
+
+import os
+import pathlib
+from typing import Any
+
+import attrs
+
+from cicadafront import errors, settings
+from cicadafront.config import folder, schema
+
+Address = settings.Address
+
+
+@attrs.frozen
+class SidecarSettings:
+    """Settings of one instance.
+
+    Attributes:
+        instance: Name of the instance, unique in the fleet.
+        data_centre: Data centre that it runs in.
+        edge: Address for callers and the target of the machine.
+        peer: TCP address for other instances.
+        gossip: UDP address for other instances.
+        heartbeats: Address for the heartbeats of the target.
+        readiness: Address for the platform's health check.
+        metrics: Address for metrics.
+        store: Address of the platform's key-value store.
+        target: Address of the target beside this instance.
+        service: Service of that target until its heartbeat names one.
+        stop_seconds: Time from SIGTERM to SIGKILL.
+        retry_share: Part of a service's requests that may be sent to a
+            second target, over the whole fleet.
+        retry_extra: Further such requests in `retry_window_seconds`.
+        retry_window_seconds: Length of the window of `retry_extra`.
+        floor: Share of a service's slots that ejection leaves in use.
+        log_level: Least severity that is logged.
+    """
+
+    instance: str
+    data_centre: str
+    edge: Address
+    peer: Address
+    gossip: Address
+    heartbeats: Address
+    readiness: Address
+    metrics: Address
+    store: Address
+    target: Address
+    service: str = ""
+    stop_seconds: float = 6.0
+    retry_share: float = 0.2
+    retry_extra: float = 60.0
+    retry_window_seconds: float = 10.0
+    floor: float = 0.7
+    log_level: str = "info"
+
+
+_name = schema.text(r"[^\x00-\x20]{1,200}", "a name without spaces")
+_optional_name = schema.text(r"[^\x00-\x20]{0,200}", "a name without spaces")
+
+_TOP: schema.Fields = {
+    "instance": schema.Field(_name, required=True),
+    "data_centre": schema.Field(_name, required=True),
+    "log_level": schema.Field(schema.one_of(*settings.LOG_LEVELS)),
+}
+_ADDRESSES: schema.Fields = {
+    key: schema.Field(settings.address, required=True)
+    for key in ("edge", "peer", "gossip", "heartbeats", "readiness", "metrics")
+}
+_SIDECAR: schema.Fields = {
+    "store": schema.Field(settings.address, required=True),
+    "target": schema.Field(settings.address, required=True),
+    "service": schema.Field(_optional_name),
+    "stop_seconds": schema.Field(schema.number(0, 3600, " (seconds)")),
+    "retry_share": schema.Field(schema.number(0, 10)),
+    "retry_extra": schema.Field(schema.number(0, 1e6)),
+    "retry_window_seconds": schema.Field(schema.number(0.1, 3600)),
+    "floor": schema.Field(schema.number(0, 1)),
+}
+_TABLES = {"": _TOP, "addresses": _ADDRESSES, "sidecar": _SIDECAR}
+
+
+def selected(content: bytes) -> bool:
+    """Returns whether a settings file is for this deployment."""
+    return b"\n[sidecar]" in b"\n" + content
+
+
+def read(file: str, content: bytes) -> SidecarSettings:
+    """Reads settings from the content of a TOML file.
+
+    Raises:
+        InvalidConfigurationError: With all errors, each with key and remedy.
+    """
+    try:
+        document = folder.parse(file, content)
+    except errors.ConfigError as error:
+        raise schema.InvalidConfigurationError([error]) from None
+    tables = {name: document.pop(name, {}) for name in _TABLES if name}
+    tables[""] = document
+    values: dict[str, Any] = {}
+    found: list[errors.ConfigError] = []
+    for name, fields in _TABLES.items():
+        table, wrong = schema.check_table(file, name, tables[name], fields)
+        values |= table
+        found += wrong
+        found += _missing(file, name, tables[name], fields)
+    if found:
+        raise schema.InvalidConfigurationError(found)
+    return SidecarSettings(**values)
+
+
+def load(path: str | os.PathLike[str]) -> SidecarSettings:
+    """Reads settings from a file."""
+    return read(str(path), pathlib.Path(path).read_bytes())
+
+
+def _missing(
+    file: str, name: str, table: Any, fields: schema.Fields
+) -> list[errors.ConfigError]:
+    given = table if isinstance(table, dict) else {}
+    return [
+        errors.ConfigError(
+            file, f"{name}.{key}" if name else key, "is missing; add it"
+        )
+        for key, field in fields.items()
+        if field.required and key not in given
+    ]
--- /dev/null
+++ b/tests/membership/test_beats.py
@@ -0,0 +1,119 @@
+"""Tests of the registry of the target beside an instance."""
+
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from cicadafront import model
+from cicadafront.membership import beats
+
+ADDRESS = ("10.0.0.9", 8080)
+LEAVING = model.TargetState.LEAVING
+FIRST = beats.Heartbeat(
+    "t1", "reads", ADDRESS, 3, model.TargetState.SERVING, 5, 100
+)
+
+
+class Announcer:
+    """Keeps what was announced."""
+
+    def __init__(self):
+        self.records = []
+        self.withdrawn = []
+
+    def announce_target(self, now, record):
+        self.records.append(record)
+
+    def withdraw_target(self, now, id):
+        self.withdrawn.append(id)
+
+
+class BeatTest(unittest.TestCase):
+    """Guards against heartbeats that are late, doubled or of others."""
+
+    def setUp(self):
+        self.announcer = Announcer()
+        self.left = []
+        self.gone = []
+        self.registry = beats.BeatRegistry(
+            self.announcer,
+            "n1",
+            "dc",
+            ADDRESS,
+            self.left.append,
+            self.gone.append,
+        )
+        self.registry.heartbeat(0.0, FIRST)
+
+    def state(self, id="t1"):
+        """Returns the state of a target, or None if it is unknown."""
+        found = self.registry.local(id)
+        return found.target.state if found else None
+
+    def test_target_is_announced(self):
+        record = self.announcer.records[-1]
+        self.assertEqual((record.id, record.service), ("t1", "reads"))
+        self.assertIs(self.state(), model.TargetState.SERVING)
+
+    @parameterized.expand(
+        [
+            ("late", {"number": 4}),
+            ("repeated", {"number": 5}),
+            ("older_incarnation", {"number": 9, "incarnation": 99}),
+            ("other_address", {"number": 9, "address": ("10.0.0.8", 8080)}),
+            (
+                "late_of_the_previous_target",
+                {"target": "t0", "incarnation": 50, "number": 99},
+            ),
+        ]
+    )
+    def test_ignored(self, _name, changes):
+        beat = attrs.evolve(FIRST, state=LEAVING, **changes)
+        self.registry.heartbeat(1.0, beat)
+        self.assertIs(self.state(), model.TargetState.SERVING)
+        self.assertEqual(self.left, [])
+
+    def test_leaving_is_final(self):
+        self.registry.heartbeat(
+            1.0, attrs.evolve(FIRST, state=LEAVING, number=6)
+        )
+        self.registry.heartbeat(2.0, attrs.evolve(FIRST, number=7))
+        self.assertIs(self.state(), LEAVING)
+        self.assertEqual(self.left, ["t1"])
+        self.assertIs(self.announcer.records[-1].state, LEAVING)
+
+    def test_goodbye_without_leaving_first(self):
+        self.registry.leaving(1.0, "t1")
+        self.registry.heartbeat(2.0, attrs.evolve(FIRST, number=8))
+        self.assertIs(self.state(), LEAVING)
+
+    def test_late_goodbye_of_an_earlier_incarnation(self):
+        self.registry.leaving(1.0, "t1", 99)
+        self.assertIs(self.state(), model.TargetState.SERVING)
+
+    def test_new_incarnation_under_the_same_id(self):
+        self.registry.leaving(1.0, "t1")
+        self.registry.heartbeat(
+            2.0, attrs.evolve(FIRST, incarnation=101, number=1)
+        )
+        self.assertIs(self.state(), model.TargetState.SERVING)
+        self.assertEqual(self.gone, ["t1"])
+
+    def test_next_target_at_the_address(self):
+        beat = attrs.evolve(FIRST, target="t2", incarnation=200, number=1)
+        self.registry.heartbeat(2.0, beat)
+        self.assertIsNone(self.state())
+        self.assertIs(self.state("t2"), model.TargetState.SERVING)
+        self.assertEqual(self.announcer.withdrawn, ["t1"])
+
+    def test_other_target_answers(self):
+        self.registry.replaced(1.0, "t1")
+        self.registry.heartbeat(2.0, attrs.evolve(FIRST, number=8))
+        self.assertIsNone(self.state())
+
+    def test_silence(self):
+        self.registry.expire(beats.SILENCE_SECONDS)
+        self.assertIsNotNone(self.state())
+        self.registry.expire(beats.SILENCE_SECONDS + 1)
+        self.assertIsNone(self.state())
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform adapter."""
--- /dev/null
+++ b/tests/platform/test_heartbeats.py
@@ -0,0 +1,94 @@
+"""Tests of the heartbeats of targets."""
+
+import json
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront import model
+from cicadafront.platform import heartbeats, words
+
+INFO = {"service": "reads", "version": "v1", "zone": "a", "slots": 5}
+STATUS = {"state": "ready", "sequence": 4, "cold_remaining_s": 0.5}
+BEAT = {
+    "address": "10.0.0.9:8080",
+    "info": INFO,
+    "status": STATUS,
+    "born": 1700000000000,
+}
+
+
+def decode(beat):
+    """Decodes a heartbeat of the target t1."""
+    return heartbeats.decode("t1", json.dumps(beat).encode())
+
+
+class HeartbeatTest(unittest.TestCase):
+    """Guards against heartbeats that name no target to use."""
+
+    def test_fields_arrive(self):
+        beat = decode(BEAT)
+        self.assertEqual(
+            (beat.target, beat.service, beat.address, beat.slots),
+            ("t1", "reads", ("10.0.0.9", 8080), 5),
+        )
+        self.assertEqual(
+            (beat.number, beat.incarnation, beat.cold_seconds),
+            (4, 1700000000000, 0.5),
+        )
+        self.assertIs(beat.state, model.TargetState.SERVING)
+
+    def test_leaving(self):
+        beat = decode({**BEAT, "status": {**STATUS, "state": "draining"}})
+        self.assertIs(beat.state, model.TargetState.LEAVING)
+
+    @parameterized.expand(
+        [
+            ("no_info", {**BEAT, "info": None}),
+            ("no_status", {"address": "1.2.3.4:5", "info": INFO}),
+            ("state", {**BEAT, "status": {**STATUS, "state": "odd"}}),
+            ("state_type", {**BEAT, "status": {**STATUS, "state": []}}),
+            ("slots", {**BEAT, "info": {**INFO, "slots": "5"}}),
+            ("slots_range", {**BEAT, "info": {**INFO, "slots": 0}}),
+            ("slots_bool", {**BEAT, "info": {**INFO, "slots": True}}),
+            ("sequence", {**BEAT, "status": {**STATUS, "sequence": 1.5}}),
+            ("born", {**BEAT, "born": "x"}),
+            ("address", {**BEAT, "address": "10.0.0.9"}),
+            ("port", {**BEAT, "address": "10.0.0.9:http"}),
+            ("service", {**BEAT, "info": {**INFO, "service": 3}}),
+            ("list", []),
+            ("text", "x"),
+        ]
+    )
+    def test_invalid(self, _name, beat):
+        with self.assertRaises(heartbeats.HeartbeatError):
+            decode(beat)
+
+    @parameterized.expand([(b"",), (b"\xff",), (b"{",)])
+    def test_no_document(self, body):
+        with self.assertRaises(heartbeats.HeartbeatError):
+            heartbeats.decode("t1", body)
+
+    @parameterized.expand(
+        [(b"", 0), (b'{"born": 5}', 5), (b'{"born": "5"}', 0), (b"[", 0)]
+    )
+    def test_incarnation_of_a_goodbye(self, body, expected):
+        self.assertEqual(heartbeats.incarnation(body), expected)
+
+
+class TargetCallTest(unittest.TestCase):
+    """Guards against calls that are taken for heartbeats."""
+
+    @parameterized.expand(
+        [
+            ("POST", "/-/instances/i-1/heartbeat", ("i-1", False)),
+            ("POST", "/-/instances/i-1/deregister", ("i-1", True)),
+            ("POST", "/-/instances/a%2Fb/heartbeat", ("a/b", False)),
+            ("GET", "/-/instances/i-1/heartbeat", None),
+            ("POST", "/-/instances//heartbeat", None),
+            ("POST", "/-/instances/i-1/other", None),
+        ]
+    )
+    def test_calls(self, method, path, expected):
+        head = model.RequestHead(method, path, ())
+        self.assertEqual(words.target_call(head), expected)
--- /dev/null
+++ b/tests/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the deployment beside one target."""
