--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -19,6 +19,9 @@
 from cicadafront.peer import exchange
 from cicadafront.telemetry import metrics, tracing
 
+# An entry answers within a few milliseconds; a slot does not wait for one
+# that is cut off.
+GO_SECONDS = 0.3
 # A caller learns of a possible crash after the other instances do, so that it
 # cannot send the request to one that does not know it yet.
 _HELD_KINDS = frozenset({"closed", "short"})
@@ -57,6 +60,7 @@
 
 class _State(enum.Enum):
     QUEUED = "queued"
+    GRANTED = "granted"
     CONNECTING = "connecting"
     RUNNING = "running"
     DONE = "done"
@@ -80,6 +84,7 @@
         self._entry: queue.Entry | None = None
         self._trace = run_trace.RunTrace(owner.tracer, owner.metrics, request)
         self._timer: Any = None
+        self._waiting_go: Any = None
         self._connection: connection.TargetConnection | None = None
         self._pending: list[bytes] = []
         self._ended = False
@@ -121,7 +126,7 @@
             request.objective,
         )
         self._timer = self._agent.clock.callLater(request.timeout, self._expire)
-        self._agent.slots.submit(self._entry, self._connect, self.refuse)
+        self._agent.slots.submit(self._entry, self._slot, self.refuse)
 
     # Request body, from the entry.
 
@@ -153,6 +158,32 @@
 
     # Slot and connection.
 
+    def go(self) -> None:
+        """Lets a request that has a slot run."""
+        if self._state is _State.GRANTED:
+            if self._waiting_go is not None and self._waiting_go.active():
+                self._waiting_go.cancel()
+            self._state = _State.QUEUED
+            self._connect()
+
+    def _ask_to_go(self) -> None:
+        self._state = _State.GRANTED
+        self._waiting_go = self._agent.clock.callLater(GO_SECONDS, self._no_go)
+        self._response.granted()
+
+    def _no_go(self) -> None:
+        self.refuse(
+            errors.LinkLostError(
+                "The entry did not confirm the request; try again."
+            )
+        )
+
+    def _slot(self) -> None:
+        if self._request.confirm:
+            self._ask_to_go()
+        else:
+            self._connect()
+
     def _connect(self) -> None:
         if self._state is not _State.QUEUED:
             return
@@ -387,8 +418,9 @@
             return
         self._state = _State.DONE
         self._trace.finish(code)
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._waiting_go):
+            if timer is not None and timer.active():
+                timer.cancel()
         if self._connection is not None:
             self._connection.abort()
             self._connection = None
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -201,6 +201,7 @@
             tracer=self.agent.tracer,
             words=fleet.words,
             asking=fleet.asking,
+            instance=self._settings.instance,
             service_here=fleet.service_here,
             rng=self._rng,
         )
--- a/src/cicadafront/edge/answers.py
+++ b/src/cicadafront/edge/answers.py
@@ -54,6 +54,9 @@
         if not self.done:
             self._connection.wants_body()
 
+    def granted(self) -> None:
+        """Does nothing: the caller learns of the answer only."""
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         """Takes the head."""
         if self._stale(twice=self.headed):
--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -14,6 +14,10 @@
 OVERTAKEN_SECONDS = 1.0
 
 
+# An agent that may not queue a request answers within a few milliseconds.
+GRANT_SECONDS = 0.15
+
+
 class Parent(Protocol):
     """The exchange that an attempt belongs to."""
 
@@ -48,6 +52,8 @@
         span: Span of the attempt.
         request: Takes the request body once the stream is open.
         done: Whether the attempt has ended.
+        confirms: Whether the agent still waits for a confirmation, so that
+            the request has certainly not run.
     """
 
     def __init__(
@@ -61,13 +67,49 @@
         self.span = span
         self.request: exchange.RequestSink | None = None
         self.done = False
+        self.confirms = False
         self._parent = parent
         self._site = site
         self._began = site.clock.seconds()
         self._timer: Any = None
         self._taken = 0
+        self._ungranted: Any = None
         self._headed = False
 
+    def attach(
+        self, sink: exchange.RequestSink, request: exchange.OpenRequest
+    ) -> None:
+        """Takes the stream that the attempt runs on."""
+        self.request = sink
+        self.confirms = request.confirm
+        if request.confirm and not request.insist and not self.done:
+            clock = self._site.clock
+            self._ungranted = clock.callLater(GRANT_SECONDS, self._silent)
+
+    def granted(self) -> None:
+        """Lets the agent hand the request to its target."""
+        if self.done or self.request is None or not self.confirms:
+            return
+        self.confirms = False
+        self._forget_grant()
+        self.request.go()
+
+    def _silent(self) -> None:
+        """Gives up an agent that does not answer; it runs nothing."""
+        if self.done or self.request is None:
+            return
+        self.request.cancel()
+        self.fail(
+            errors.LinkLostError(
+                f"Instance {self.target.instance} does not answer; try again."
+            ),
+            exchange.Load(),
+        )
+
+    def _forget_grant(self) -> None:
+        if self._ungranted is not None and self._ungranted.active():
+            self._ungranted.cancel()
+
     def cancel(self) -> None:
         """Gives the attempt up."""
         if not self.done:
@@ -88,6 +130,7 @@
         self.done = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._forget_grant()
         self._site.tracer.finish(self.span, **fields)
 
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
@@ -112,6 +155,9 @@
     def fail(self, error: errors.RequestError, load: exchange.Load) -> None:
         """Takes the failure of the attempt."""
         if not self._stale():
+            if self.confirms:
+                # The agent was never allowed to hand the request over.
+                error.executed = errors.Executed.NO
             self._end(code=error.code, executed=error.executed.value)
             self._parent.attempt_failed(self, error, load)
 
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -1,5 +1,6 @@
 """Choice of targets, retries and hedges for one request."""
 
+from collections.abc import Callable
 from typing import Any, Protocol
 
 from cicadafront import errors, model
@@ -86,8 +87,9 @@
         self._cut_off: list[model.Target] = []
         self._relayed: set[str] = set()
         self._headed = False
-        # Whether the budget has paid for the retry that follows.
-        self._retry_paid = False
+        # Whether the budget has paid for a second copy.
+        self._hedge_paid = False
+        self._cancelled = False
 
     @property
     def running(self) -> bool:
@@ -110,9 +112,10 @@
     def cancel(self) -> None:
         """Gives up; a target that has the request may have run it."""
         self._disarm()
+        self._cancelled = True
         for copy in self._copies():
             if not copy.done:
-                self.maybe_ran = True
+                self.maybe_ran = self.maybe_ran or not copy.confirms
                 copy.cancel()
 
     def body(self, data: bytes) -> None:
@@ -191,7 +194,7 @@
     ) -> None:
         request = self._request(target, via, opened.span.context)
         sink = self._site.open_at(via or target.instance, request, opened)
-        opened.request = sink
+        opened.attach(sink, request)
         if opened.done:
             return
         for piece in self._body.pieces():
@@ -223,17 +226,30 @@
         except errors.RequestError:
             # The running copy decides about the answer.
             return
-        now = self._site.clock.seconds()
-        if target is None:
-            return
-        if not self._site.budget.try_retry(self._service, now):
-            self._site.counts["hedges_refused"] += 1
+        if target is not None:
+            self._pay(lambda: self._hedge_at(target), self._hedge_refused)
+
+    def _hedge_refused(self) -> None:
+        self._site.counts["hedges_refused"] += 1
+
+    def _hedge_at(self, target: model.Target) -> None:
+        if self._headed or self._hedge is not None or not self.running:
             return
+        self._hedge_paid = True
         self._site.counts["hedges"] += 1
         self._hedge = self._opened(target, "")
         self._parent.attempt_said(target.id, "hedged")
         self._send(self._hedge, target, "")
 
+    def _hedge_elsewhere(self) -> None:
+        """Takes a copy that its agent refused to another target."""
+        try:
+            target = self._pick_hedge()
+        except errors.RequestError:
+            return
+        if target is not None and self._asked < self._rounds[0].most:
+            self._hedge_at(target)
+
     def _pick_hedge(self) -> model.Target | None:
         account, suspects = self._order.account_id, self._site.suspects
         suspects.check(account, self._fingerprint)
@@ -303,6 +319,9 @@
             insist=self._rounds[0].insist,
             priority=wanted.priority,
             objective=wanted.route.objective,
+            confirm=self._site.asking.confirm
+            and not via
+            and target.instance != self._site.instance,
         )
 
     # From the current attempt.
@@ -354,7 +373,8 @@
         if reached or error.code in _SHUT_CODES:
             self._shut.add(attempt.target.id)
         if error.code == errors.TargetDoubtedError.code:
-            self._site.picker.doubted(attempt.target.id, now)
+            until = now + (error.retry_after or 0.0)
+            self._site.picker.doubted(attempt.target.id, until)
         if error.code == errors.LinkLostError.code:
             self._cut(attempt.target)
         else:
@@ -363,13 +383,43 @@
         if left is not None:
             # The other copy may still answer.
             self._current, self._hedge = left, None
+            if self._hedge_paid and not reached and self._site.asking.free:
+                self._hedge_elsewhere()
             return
         self._disarm()
-        if self._may_retry(error, self._offered):
-            self._site.counts["retries"] += 1
-            self._try(error)
-        else:
+        self._retry(error)
+
+    def _retry(self, error: errors.RequestError) -> None:
+        """Goes to another target, if that is allowed, or gives up."""
+        if not self._may_retry(error, self._offered):
             self._parent.answer_failed(error)
+        elif self._is_free(error):
+            self._again(error)
+        else:
+            self._pay(
+                lambda: self._again(error),
+                lambda: self._parent.answer_failed(error),
+            )
+
+    def _again(self, error: errors.RequestError) -> None:
+        self._site.counts["retries"] += 1
+        self._try(error)
+
+    def _pay(
+        self, granted: Callable[[], None], refused: Callable[[], None]
+    ) -> None:
+        """Goes on with one retry out of the budget, now or in a moment."""
+        now = self._site.clock.seconds()
+        found = self._site.budget.try_retry(self._service, now)
+        if isinstance(found, bool):
+            (granted if found else refused)()
+            return
+
+        def decided(paid: bool) -> None:
+            if not self._cancelled:
+                (granted if paid else refused)()
+
+        found.addCallback(decided)
 
     def _cut(self, target: model.Target) -> None:
         self._cut_off.append(target)
@@ -391,10 +441,9 @@
             executed=errors.Executed.UNKNOWN,
         )
         others = [copy for copy in self._copies() if copy is not attempt]
-        if all(copy.done for copy in others):
-            if not self._may_retry(error, self._offered + 1):
-                return False
-            self._retry_paid = True
+        alone = all(copy.done for copy in others)
+        if alone and not self._may_retry(error, self._offered + 1):
+            return False
         attempt.cancel()
         self.attempt_failed(attempt, error, load)
         return True
@@ -406,17 +455,15 @@
             self._order.route.repeatable and self._body.whole()
         ):
             return False
-        paid, self._retry_paid = self._retry_paid, False
-        if paid:
+        if self._is_free(error):
             return True
-        free = self._site.asking.free
-        if (
-            free
+        used = offered if self._site.asking.free else self._count
+        return used < self._order.route.attempts
+
+    def _is_free(self, error: errors.RequestError) -> bool:
+        """Tells whether the request has not even reached the target."""
+        return (
+            self._site.asking.free
             and error.executed is errors.Executed.NO
             and error.code != errors.TargetShedError.code
-        ):
-            return True
-        if (offered if free else self._count) >= self._order.route.attempts:
-            return False
-        now = self._site.clock.seconds()
-        return self._site.budget.try_retry(self._service, now)
+        )
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -245,6 +245,9 @@
         elif self._phase is _Phase.RUNNING and self._attempts is not None:
             self._attempts.end()
 
+    def go(self) -> None:
+        """Does nothing: callers confirm nothing."""
+
     def consumed(self, count: int) -> None:
         """Lets the target send more of the answer."""
         self._unread -= count
@@ -349,6 +352,9 @@
     def wants_body(self) -> None:
         pass
 
+    def granted(self) -> None:
+        pass
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         pass
 
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -37,6 +37,7 @@
         tracer: Spans of this instance.
         words: Header names of the deployment.
         asking: How often and how firmly agents are asked for one request.
+        instance: Id of this instance.
         service_here: Returns the service beside which this entry runs.
         rng: Source of choices.
     """
@@ -65,5 +66,6 @@
     )
     words: dialect.Dialect = dialect.DEFAULT
     asking: policies.Asking = policies.Asking()
+    instance: str = ""
     service_here: Callable[[], str] = lambda: ""
     rng: random.Random = attrs.field(factory=random.Random)
--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 import attrs
+from twisted.internet import defer
 
 from cicadafront import errors, model
 from cicadafront.config import model as config_model
@@ -38,12 +39,15 @@
             a server error goes to another one.
         hedge_by_route: Whether hedges follow the latencies of the route and
             not those of the service.
+        confirm: Whether agents on other instances ask before they hand a
+            request over.
     """
 
     rounds: tuple[Round, ...] = (Round(1, config_model.MAX_ATTEMPTS),)
     free: bool = False
     retry_errors: bool = False
     hedge_by_route: bool = False
+    confirm: bool = False
 
 
 class Picker(Protocol):
@@ -54,8 +58,8 @@
     ) -> model.Target | None:
         """Returns a target of the service, or None if none can take work."""
 
-    def doubted(self, target_id: str, now: float) -> None:
-        """Notes that an agent doubts its target."""
+    def doubted(self, target_id: str, until: float) -> None:
+        """Avoids a target that its agent doubts until a time."""
 
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
         """Notes the load that an agent reported."""
@@ -67,7 +71,9 @@
     def request(self, service: str, now: float) -> None:
         """Notes a first attempt."""
 
-    def try_retry(self, service: str, now: float) -> bool:
+    def try_retry(
+        self, service: str, now: float
+    ) -> "bool | defer.Deferred[bool]":
         """Takes one retry out of the budget, if there is one."""
 
 
@@ -152,7 +158,7 @@
             serving = self._rng.sample(serving, 2)
         return min(serving, key=self._pressure, default=None)
 
-    def doubted(self, target_id: str, now: float) -> None:
+    def doubted(self, target_id: str, until: float) -> None:
         """Ignores doubts."""
 
     def observe(self, target_id: str, load: exchange.Load, now: float) -> None:
--- a/src/cicadafront/health/spells.py
+++ b/src/cicadafront/health/spells.py
@@ -23,6 +23,9 @@
 # after which it counts as stalled. Work times spread by a factor of 2.5.
 LATE = 2.5
 STALLED = 5.0
+# Multiple after which a target is no place for a request that may run only
+# once, if others have room: it cannot be taken elsewhere when it stalls.
+UNEASY = 1.5
 # A request is never late before this time, however fast others are.
 LEAST_LATE_SECONDS = 0.08
 # Evidence at which a target is doubted, and at which it is suspended. One
@@ -154,6 +157,14 @@
             return Standing.SUSPENDED
         return Standing.DOUBTED if evidence >= DOUBT else Standing.TRUSTED
 
+    def uneasy(self, now: float) -> bool:
+        """Returns whether a request runs long while no other one ends."""
+        return any(
+            self._last_good <= run.started
+            and now - run.started > max(LEAST_LATE_SECONDS, UNEASY * run.usual)
+            for run in self.running
+        )
+
     def takes_trial(self, now: float) -> bool:
         """Returns whether a suspended target may be tried with one request."""
         return self.suspended and now >= self._trial_due
--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -4,12 +4,13 @@
 all instances, and accounts within their rate whose callers are spread
 unevenly. The tokens of an account are kept by the live instance that ranks
 first for it by rendezvous hash (its *keeper*). Other instances ask the keeper
-and hold what it grants for at most `CREDIT_SECONDS`.
+and hold what it grants for at most `CREDIT_SECONDS`. They ask the second
+instance while the first one does not answer.
 
 While two instances disagree about the keeper, two buckets exist; a new keeper
 starts with half a burst, which keeps the excess near the usual overage of a
-few seconds. An instance that cannot reach the keeper spends an equal share of
-the rate and no burst.
+few seconds. An instance that reaches neither spends a part of an equal share
+of the rate, and no burst.
 """
 
 import collections
@@ -43,10 +44,16 @@
 # Part of the burst with which a new keeper starts; the previous one may have
 # granted the rest.
 FIRST_SHARE = 0.5
+# Instances that may keep the tokens of an account, in the order of asking.
+KEEPERS = 2
+# Part of an equal share that an instance spends when no keeper answers: the
+# others may get the whole rate from theirs meanwhile.
+CUT_OFF_SHARE = 0.6
 # Shortest advice to an account beyond its rate.
 LEAST_WAIT_SECONDS = 0.1
 
-_REQUEST = struct.Struct("!H")
+# Wanted tokens, and tokens that the asking instance has earned.
+_REQUEST = struct.Struct("!Hf")
 _ANSWER = struct.Struct("!Hf")
 
 _log = logs.Log("limits")
@@ -54,15 +61,15 @@
 Accounts = Callable[[str], "config_model.ClientAccount | None"]
 
 
-def keeper(account: str, instances: Iterable[str]) -> str | None:
-    """Returns the instance that keeps the tokens of an account, if any."""
+def keepers(account: str, instances: Iterable[str]) -> list[str]:
+    """Returns the instances that may keep an account, the first one first."""
 
     def rank(instance: str) -> bytes:
         return hashlib.blake2b(
             f"{account}\0{instance}".encode(), digest_size=8
         ).digest()
 
-    return max(instances, key=rank, default=None)
+    return sorted(instances, key=rank, reverse=True)[:KEEPERS]
 
 
 class Ledger:
@@ -72,9 +79,20 @@
         self._buckets: dict[str, tokens.Bucket] = {}
 
     def grant(
-        self, now: float, account: config_model.ClientAccount, wanted: int
+        self,
+        now: float,
+        account: config_model.ClientAccount,
+        wanted: int,
+        earned: float = 0.0,
     ) -> tuple[int, float]:
-        """Returns granted tokens, and the wait if there are none."""
+        """Returns granted tokens, and the wait if there are none.
+
+        Args:
+            now: Time in seconds.
+            account: Account with its limits.
+            wanted: Number of tokens.
+            earned: Tokens to add to those that come in with time.
+        """
         bucket = self._buckets.get(account.id)
         if bucket is None:
             first = max(1.0, account.burst * FIRST_SHARE)
@@ -84,6 +102,7 @@
         elif (bucket.rate, bucket.burst) != (account.rate, account.burst):
             bucket.limit(now, account.rate, account.burst)
         bucket.refill(now)
+        bucket.add(earned)
         spare = max(1, min(MOST_GRANTED, int(bucket.tokens * GRANTED_SHARE)))
         granted = bucket.take(now, min(wanted, spare))
         return granted, 0.0 if granted else bucket.wait(now)
@@ -109,6 +128,7 @@
         factory=collections.deque
     )
     asking: bool = False
+    earned: float = 0.0
 
 
 class SharedAdmission:
@@ -147,7 +167,7 @@
         self._demands: dict[str, _Demand] = {}
         self._shares: dict[str, tokens.Bucket] = {}
         self._silent: dict[str, float] = {}
-        self._ranked: dict[str, str | None] = {}
+        self._ranked: dict[str, list[str]] = {}
         directory.on_change(self._ranked.clear)
         calls.register(METHOD, self._serve)
 
@@ -155,6 +175,17 @@
         self, account: config_model.ClientAccount
     ) -> "defer.Deferred[None]":
         """Admits one request, or fails with `RateExceededError`."""
+        return self.spend(account, 0.0)
+
+    def spend(
+        self, account: config_model.ClientAccount, earned: float
+    ) -> "defer.Deferred[None]":
+        """Spends one token, or fails with `RateExceededError`.
+
+        Args:
+            account: Account with its limits.
+            earned: Tokens that this instance adds to the account.
+        """
         if account.rate <= 0:
             return defer.succeed(None)
         now = self._clock.seconds()
@@ -163,15 +194,12 @@
             self.counts["credit"] += 1
             return defer.succeed(None)
         asked = self._keeper(now, account.id)
-        if asked == self._here and not self._isolated():
-            granted, wait = self._ledger.grant(now, account, 1)
-            self.counts["kept" if granted else "refused"] += 1
-            return self._decided(account, granted, wait)
         if asked is None or asked == self._here:
-            return self._share(now, account)
+            return self._here_or_share(now, account, earned)
         demand = self._demands.setdefault(account.id, _Demand())
         result: defer.Deferred[None] = defer.Deferred()
         demand.waiting.append(result)
+        demand.earned += earned
         if not demand.asking:
             self._ask(asked, account, demand)
         return result
@@ -184,11 +212,11 @@
                 for info in self._directory.instances()
                 if info.alive and not info.leaving
             )
-            self._ranked[account] = keeper(account, live)
-        found = self._ranked[account]
-        if found is not None and now < self._silent.get(found, 0.0):
-            return None
-        return found
+            self._ranked[account] = keepers(account, live)
+        for found in self._ranked[account]:
+            if now >= self._silent.get(found, 0.0):
+                return found
+        return None
 
     def _ask(
         self,
@@ -199,7 +227,8 @@
         demand.asking = True
         # One more than is waiting saves the next request the round trip.
         wanted = min(MOST_GRANTED, len(demand.waiting) + 1)
-        body = _REQUEST.pack(wanted) + account.id.encode()
+        body = _REQUEST.pack(wanted, demand.earned) + account.id.encode()
+        demand.earned = 0.0
         answered = self._calls.call(asked, METHOD, body, CALL_SECONDS)
         answered.addCallback(self._answered, account, demand)
         answered.addErrback(self._unanswered, asked, account, demand)
@@ -225,13 +254,7 @@
         while demand.waiting and credit.take(now):
             self.counts["granted"] += 1
             demand.waiting.popleft().callback(None)
-        asked = self._keeper(now, account.id)
-        if not demand.waiting:
-            return
-        if asked is None or asked == self._here:
-            self._share_all(account, demand)
-        else:
-            self._ask(asked, account, demand)
+        self._go_on(account, demand)
 
     def _unanswered(
         self,
@@ -243,28 +266,53 @@
         demand.asking = False
         self._silent[asked] = self._clock.seconds() + SILENT_SECONDS
         _log.info(
-            "the keeper of a rate does not answer; an equal share is used.",
+            "the keeper of a rate does not answer; the next one is asked.",
             keeper=asked,
             account=account.id,
             reason=reason.getErrorMessage(),
         )
-        self._share_all(account, demand)
+        self._go_on(account, demand)
+
+    def _go_on(
+        self, account: config_model.ClientAccount, demand: _Demand
+    ) -> None:
+        """Asks for those that still wait, or decides here."""
+        if not demand.waiting:
+            return
+        asked = self._keeper(self._clock.seconds(), account.id)
+        if asked is None or asked == self._here:
+            self._decide_here(account, demand)
+        else:
+            self._ask(asked, account, demand)
 
-    def _share_all(
+    def _decide_here(
         self, account: config_model.ClientAccount, demand: _Demand
     ) -> None:
         now = self._clock.seconds()
         waiting = list(demand.waiting)
         demand.waiting.clear()
         for result in waiting:
-            self._share(now, account).chainDeferred(result)
+            self._here_or_share(now, account).chainDeferred(result)
+
+    def _here_or_share(
+        self,
+        now: float,
+        account: config_model.ClientAccount,
+        earned: float = 0.0,
+    ) -> "defer.Deferred[None]":
+        asked = self._keeper(now, account.id)
+        if asked != self._here or self._isolated():
+            return self._share(now, account)
+        granted, wait = self._ledger.grant(now, account, 1, earned)
+        self.counts["kept" if granted else "refused"] += 1
+        return self._decided(account, granted, wait)
 
     def _share(
         self, now: float, account: config_model.ClientAccount
     ) -> "defer.Deferred[None]":
-        """Decides by an equal share of the rate."""
+        """Decides by a part of an equal share of the rate."""
         number = max(1, sum(1 for _ in self._directory.instances()))
-        rate = account.rate / number
+        rate = CUT_OFF_SHARE * account.rate / number
         bucket = self._shares.get(account.id)
         if bucket is None:
             bucket = tokens.Bucket(rate, 1.0, 1.0, now)
@@ -283,13 +331,14 @@
         return defer.fail(_exceeded(account, wait))
 
     def _serve(self, caller: str, body: bytes) -> bytes:
-        (wanted,) = _REQUEST.unpack_from(body)
+        wanted, earned = _REQUEST.unpack_from(body)
         account = self._accounts(body[_REQUEST.size :].decode())
         if account is None or account.rate <= 0:
             # The caller knows another revision; its own limit decides.
             return _ANSWER.pack(1, 0.0)
         now = self._clock.seconds()
-        return _ANSWER.pack(*self._ledger.grant(now, account, wanted))
+        granted, wait = self._ledger.grant(now, account, wanted, earned)
+        return _ANSWER.pack(granted, wait)
 
 
 def _exceeded(
--- a/src/cicadafront/limits/tokens.py
+++ b/src/cicadafront/limits/tokens.py
@@ -31,6 +31,10 @@
         self.tokens = min(self.burst, self.tokens + passed * self.rate)
         self.updated = max(self.updated, now)
 
+    def add(self, amount: float) -> None:
+        """Adds tokens that were earned otherwise than with time."""
+        self.tokens = min(self.burst, self.tokens + max(0.0, amount))
+
     def take(self, now: float, wanted: int) -> int:
         """Takes up to `wanted` whole tokens; returns how many."""
         self.refill(now)
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -53,11 +53,13 @@
             with a random peer.
         eager: Whether every change of a target is broadcast, and not only
             those that take it out of use.
+        tick_seconds: Period at which an instance sends what is due.
     """
 
     bytes_per_second: float = budget.BYTES_PER_SECOND
     digest_seconds: float = DIGEST_SECONDS
     eager: bool = False
+    tick_seconds: float = TICK_SECONDS
 
 
 class Gossip:
@@ -79,7 +81,7 @@
         self.counters = outbox.Counters()
         self._rng = rng
         self.seeds = [s for s in seeds if s != me.gossip_address]
-        self._pace = pace
+        self.pace = pace
         self._state = state.State(me, rng, now, pace.eager)
         self._judge = self._state.judge
         self._known = self._state.known
@@ -287,7 +289,7 @@
 
     def _send_digest(self, now: float) -> list[Datagram]:
         jitter = self._rng.uniform(0.8, 1.2)
-        period = self._pace.digest_seconds
+        period = self.pace.digest_seconds
         self._due[self._send_digest] = now + period * jitter
         body = antientropy.digest(self._known)
         out: list[Datagram] = []
--- a/src/cicadafront/membership/registration.py
+++ b/src/cicadafront/membership/registration.py
@@ -171,17 +171,12 @@
         """Reads the list again while no other instance is known."""
         if not self._running:
             return
-        if self._alone() and not self._busy:
-            self._busy = True
+        if self._alone():
             looking = defer.ensureDeferred(self._list())
             looking.addCallbacks(self._found, self._not_listed)
-            looking.addBoth(self._looked)
             self._search = min(ALONE_MOST_SECONDS, 2 * self._search)
         self._later(self._search, self._look_again)
 
-    def _looked(self, _: object) -> None:
-        self._busy = False
-
     def _not_listed(self, reason: failure.Failure) -> None:
         _log.info(
             "the list of instances could not be read.",
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -113,7 +113,7 @@
 
     def _run_loop(self) -> None:
         if self._port is not None and not self._loop.running:
-            ended = self._loop.start(gossip.TICK_SECONDS)
+            ended = self._loop.start(self._core.pace.tick_seconds)
             ended.addErrback(self._loop_failed)
 
     def _loop_failed(self, failure) -> None:
--- a/src/cicadafront/peer/codec.py
+++ b/src/cicadafront/peer/codec.py
@@ -76,6 +76,20 @@
     count: int
 
 
+@attrs.frozen
+class Granted:
+    """The request of a stream has a slot and waits for `Go`."""
+
+    id: int
+
+
+@attrs.frozen
+class Go:
+    """Lets the request of a stream run."""
+
+    id: int
+
+
 @attrs.frozen
 class Ping:
     """Heartbeat."""
@@ -116,6 +130,8 @@
     | End
     | Reset
     | Window
+    | Granted
+    | Go
     | Ping
     | Pong
     | Call
@@ -162,6 +178,7 @@
     body.insist = request.insist
     body.priority = request.priority
     body.objectiveMs = int(request.objective * 1000)
+    body.confirm = request.confirm
     return message.to_bytes()
 
 
@@ -190,7 +207,17 @@
 
 
 def _fields(
-    frame: Data | End | Reset | Window | Hello | Ping | Pong | Call | Reply,
+    frame: Data
+    | End
+    | Reset
+    | Window
+    | Granted
+    | Go
+    | Hello
+    | Ping
+    | Pong
+    | Call
+    | Reply,
 ) -> dict[str, object]:
     match frame:
         case Data(id, data):
@@ -201,6 +228,10 @@
             return {"id": id, "reset": _reset_fields(frame)}
         case Window(id, count):
             return {"id": id, "window": count}
+        case Granted(id):
+            return {"id": id, "granted": None}
+        case Go(id):
+            return {"id": id, "go": None}
         case _:
             return _link_fields(frame)
 
@@ -256,6 +287,7 @@
         insist=message.insist,
         priority=message.priority,
         objective=message.objectiveMs / 1000,
+        confirm=message.confirm,
     )
 
 
@@ -293,6 +325,10 @@
             return Reset(message.id, _decode_reset(body), _load(body))
         case "window":
             return Window(message.id, body)
+        case "granted":
+            return Granted(message.id)
+        case "go":
+            return Go(message.id)
         case _:
             return _convert_link(kind, message.id, body)
 
--- a/src/cicadafront/peer/exchange.py
+++ b/src/cicadafront/peer/exchange.py
@@ -46,6 +46,9 @@
         priority: Rank in a queue, 0 highest.
         objective: Seconds within which the caller wants the answer; 0 if
             unknown.
+        confirm: Whether the agent waits for `go` once the request has a
+            slot. An entry that hears nothing can then take the request to
+            another agent and knows that this one does not run it.
     """
 
     head: model.RequestHead
@@ -62,6 +65,7 @@
     insist: int = 1
     priority: int = 0
     objective: float = 0.0
+    confirm: bool = False
 
 
 class RequestSink(Protocol):
@@ -79,10 +83,16 @@
     def consumed(self, count: int) -> None:
         """Reports answer bytes that were passed on."""
 
+    def go(self) -> None:
+        """Lets a request that has a slot run."""
+
 
 class ResponseSink(Protocol):
     """Takes the answer to a request."""
 
+    def granted(self) -> None:
+        """The request has a slot and waits for `go`."""
+
     def head(self, head: model.ResponseHead, load: Load) -> None:
         """Takes the head of the answer."""
 
--- a/src/cicadafront/peer/peer.capnp
+++ b/src/cicadafront/peer/peer.capnp
@@ -26,6 +26,8 @@
   insist @13 :UInt8;
   priority @14 :UInt16;
   objectiveMs @15 :UInt32;
+  # The agent asks before it hands the request to the target.
+  confirm @16 :Bool;
 }
 
 struct Head {
@@ -71,5 +73,7 @@
     pong @9 :UInt64;
     call @10 :Call;
     reply @11 :Reply;
+    granted @12 :Void;
+    go @13 :Void;
   }
 }
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -174,6 +174,9 @@
     def consumed(self, count: int) -> None:
         """Does nothing."""
 
+    def go(self) -> None:
+        """Does nothing."""
+
 
 @attrs.frozen
 class Relay:
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -69,6 +69,11 @@
         if not self._closed:
             self._link.send(codec.End(self._id))
 
+    def go(self) -> None:
+        """Lets the request run."""
+        if not self._closed:
+            self._link.send(codec.Go(self._id))
+
     def cancel(self) -> None:
         """Gives the exchange up."""
         if self._closed:
@@ -93,6 +98,8 @@
                 self._response.fail(error, load)
             case codec.Window(_, count):
                 self._response.consumed(count)
+            case codec.Granted():
+                self._response.granted()
             case codec.Head():
                 self._link.drop(frame)
             case _:
@@ -131,6 +138,11 @@
         """Sets the exchange that takes the request body."""
         self._request = request
 
+    def granted(self) -> None:
+        """Tells the peer that the request has a slot."""
+        if not self._closed:
+            self._link.send(codec.Granted(self._id))
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         """Sends the head of the answer."""
         if not self._closed:
@@ -162,6 +174,8 @@
                 request.end()
             case codec.Window(_, count):
                 request.consumed(count)
+            case codec.Go():
+                request.go()
             case codec.Reset():
                 self._close()
                 request.cancel()
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -79,6 +79,7 @@
         self._shed = shed
         self._usual = spells.Usual()
         self._places: dict[str, _Place] = {}
+        self._timer: Any = None
 
     # Queue.
 
@@ -100,6 +101,7 @@
         self._grant(now, place)
         if any(item.entry is entry for item in place.waiting):
             self._shorten(now, place)
+        self._arm()
 
     def remove(self, entry: queue.Entry) -> None:
         """Takes back an entry that waits, or frees the slot it holds."""
@@ -128,6 +130,16 @@
                     place.waiting.remove(waiting)
                     waiting.give_up(_busy(waiting.entry, self._drain(place)))
 
+    def _arm(self) -> None:
+        """Looks after the queues for as long as anything waits."""
+        idle = self._timer is None or not self._timer.active()
+        if idle and any(place.waiting for place in self._places.values()):
+            self._timer = self._clock.callLater(TICK_SECONDS, self._look)
+
+    def _look(self) -> None:
+        self.tick()
+        self._arm()
+
     def empty(self, target: str) -> None:
         """Refuses all that waits for a target that takes no more work."""
         place = self._places.get(target)
@@ -200,15 +212,9 @@
             if place.holding or place.waiting:
                 return _busy(entry, self._drain(place))
             return None
-        standing = place.spell.standing(now)
-        if standing is spells.Standing.SUSPENDED:
-            if not self._may_try(now, place, entry):
-                return _doubted(entry)
-        elif (
-            standing is spells.Standing.DOUBTED
-            and entry.insist == ASKS_FOR_SLOT
-        ):
-            return _doubted(entry)
+        avoid = self._avoid_seconds(now, place, entry)
+        if avoid:
+            return _doubted(entry, avoid)
         free = len(place.holding) < place.slots and not place.waiting
         if free and place.alone is None:
             return None
@@ -216,12 +222,25 @@
             return _busy(entry, self._drain(place))
         return None
 
-    def _may_try(self, now: float, place: _Place, entry: queue.Entry) -> bool:
-        """Tells whether a suspended target may run a request."""
-        if entry.insist > ASKS_FOR_PLACE:
-            return True
-        trial = place.spell.takes_trial(now) and not place.holding
-        return trial and (entry.repeatable or entry.insist > ASKS_FOR_SLOT)
+    def _avoid_seconds(
+        self, now: float, place: _Place, entry: queue.Entry
+    ) -> float:
+        """Returns how long a request should avoid a target, 0 for not."""
+        spell = place.spell
+        standing = spell.standing(now)
+        if standing is spells.Standing.SUSPENDED:
+            trial = spell.takes_trial(now) and (
+                entry.repeatable or entry.insist > ASKS_FOR_SLOT
+            )
+            if trial or entry.insist > ASKS_FOR_PLACE:
+                return 0.0
+            return SUSPENDED_SECONDS
+        if entry.insist > ASKS_FOR_SLOT:
+            return 0.0
+        doubted = standing is spells.Standing.DOUBTED
+        if doubted or (not entry.repeatable and spell.uneasy(now)):
+            return DOUBTED_SECONDS
+        return 0.0
 
     def _too_late(self, now: float, place: _Place, entry: queue.Entry) -> bool:
         """Tells whether an answer would come after the deadline."""
@@ -286,6 +305,10 @@
     return max(LEAST_WAIT_SECONDS, seconds)
 
 
+# Times for which entries avoid a target after a refusal: long requests end by
+# themselves, gray spells last some seconds.
+DOUBTED_SECONDS = 0.25
+SUSPENDED_SECONDS = 1.0
 # A client that returns sooner finds the same queue.
 LEAST_WAIT_SECONDS = 0.1
 
@@ -297,8 +320,8 @@
     )
 
 
-def _doubted(entry: queue.Entry) -> errors.RequestError:
+def _doubted(entry: queue.Entry, seconds: float) -> errors.RequestError:
     return errors.TargetDoubtedError(
         f"Target {entry.target} seems to stall; try another one.",
-        retry_after=_least_wait(0.0),
+        retry_after=seconds,
     )
--- a/src/cicadafront/routing/picker.py
+++ b/src/cicadafront/routing/picker.py
@@ -17,9 +17,6 @@
 # A local target whose weight is below this share of its usual one is chosen
 # by weight among all, or a gray one would get every local request.
 LOCAL_SHARE = 0.5
-# Time for which a target is avoided after its agent has doubted it; a gray
-# spell lasts some seconds.
-DOUBTED_SECONDS = 1.0
 # A report of load is worth nothing after this time.
 LOAD_SECONDS = 2.0
 
@@ -103,9 +100,9 @@
         """Returns a target whatever its direct path, or None."""
         return self._pick(service, exclude, now, _always)
 
-    def doubted(self, target_id: str, now: float) -> None:
-        """Avoids a target for a while, as far as there are others."""
-        self._avoided[target_id] = now + DOUBTED_SECONDS
+    def doubted(self, target_id: str, until: float) -> None:
+        """Avoids a target until a time, as far as there are others."""
+        self._avoided[target_id] = until
 
     def _pick(
         self,
--- a/src/cicadafront/routing/retry.py
+++ b/src/cicadafront/routing/retry.py
@@ -2,8 +2,6 @@
 
 import collections
 
-import attrs
-
 from cicadafront.errors import Executed
 
 RETRY_SHARE = 0.1
@@ -18,33 +16,17 @@
 MIN_HEDGE_SECONDS = 0.005
 
 
-@attrs.frozen
-class Allowance:
-    """What one entry may use of the retries of a service.
-
-    Attributes:
-        share: Retries for each request.
-        per_second: Retries that come in without requests.
-        most: Retries that a quiet time saves up.
-    """
-
-    share: float = RETRY_SHARE
-    per_second: float = RETRIES_PER_SECOND
-    most: float = MAX_SAVED_RETRIES
-
-
 class RetryBudget:
     """Retries and hedges of one service at one entry."""
 
-    def __init__(self, now: float, allowance: Allowance = Allowance()) -> None:
-        self.allowance = allowance
-        self._saved = min(allowance.most, max(1.0, allowance.per_second))
+    def __init__(self, now: float) -> None:
+        self._saved = RETRIES_PER_SECOND
         self._time = now
 
     def requested(self, now: float) -> None:
         """Counts a first attempt."""
         self._refill(now)
-        self._save(self.allowance.share)
+        self._saved = min(MAX_SAVED_RETRIES, self._saved + RETRY_SHARE)
 
     def take(self, now: float) -> bool:
         """Uses one retry, unless the budget is used up."""
@@ -57,10 +39,9 @@
     def _refill(self, now: float) -> None:
         passed = max(0.0, now - self._time)
         self._time = now
-        self._save(self.allowance.per_second * passed)
-
-    def _save(self, amount: float) -> None:
-        self._saved = min(self.allowance.most, self._saved + amount)
+        self._saved = min(
+            MAX_SAVED_RETRIES, self._saved + RETRIES_PER_SECOND * passed
+        )
 
 
 def may_retry(
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -12,7 +12,7 @@
 from cicadafront.daemon import options, root, supervisor
 from cicadafront.edge import policies, server
 from cicadafront.health import crashes, paths
-from cicadafront.limits import shares
+from cicadafront.limits import retries, shares
 from cicadafront.membership import (
     beats,
     gossip,
@@ -26,8 +26,6 @@
     gate,
     hedges,
     picker,
-    retry,
-    retry_budgets,
 )
 from cicadafront.sidecar import endpoints, settings
 from cicadafront.telemetry import logs, metrics, tracing
@@ -48,16 +46,17 @@
     free=True,
     retry_errors=True,
     hedge_by_route=True,
+    confirm=True,
 )
-# Part of the fleet's retries that entries use, since each counts only its
-# own requests and they may all retry in the same window.
-RETRY_USED_SHARE = 0.6
-# Retries that an entry saves up: one, or quiet entries would add up.
-RETRIES_SAVED = 1.2
 # A target that joins must get work within two seconds. The bytes bound the
 # burst of announcements at the start of a fleet of 100 instances; a quiet
 # fleet uses a small part of them.
-PACE = gossip.Pace(bytes_per_second=4000.0, digest_seconds=1.5, eager=True)
+PACE = gossip.Pace(
+    bytes_per_second=4000.0,
+    digest_seconds=1.5,
+    eager=True,
+    tick_seconds=0.2,
+)
 
 _log = logs.Log("sidecar")
 
@@ -93,6 +92,11 @@
         self.held = current.CurrentConfiguration()
         self.store = store.Store(reactor, chosen.store)
         self.prober = prober.TcpProber(reactor)
+        self.allowance = retries.Allowance(
+            chosen.retry_share,
+            chosen.retry_extra,
+            chosen.retry_window_seconds,
+        )
         self.leaving = False
         # Set by the composition root once the links exist.
         self.is_down: Callable[[str], bool] = lambda _: False
@@ -186,7 +190,7 @@
             self.settings.data_centre,
             COLD,
         )
-        self.budget = retry_budgets.RetryBudgets(self._allowance)
+        self.budget = retries.FleetRetries(self.admission, self.allowance)
 
     def _found(self, addresses: list[tuple[str, int]]) -> None:
         seeds = [*self.gossip.seeds, *addresses]
@@ -214,16 +218,6 @@
         else:
             self.paths.open_failed(now, instance)
 
-    def _allowance(self) -> retry.Allowance:
-        chosen = self.settings
-        fleet = max(1, sum(1 for _ in self.gossip.instances()))
-        extra = chosen.retry_extra / chosen.retry_window_seconds / fleet
-        return retry.Allowance(
-            share=chosen.retry_share * RETRY_USED_SHARE,
-            per_second=extra * RETRY_USED_SHARE,
-            most=RETRIES_SAVED,
-        )
-
     def _must_run_alone(self, entry: queue.Entry) -> bool:
         return self.crashes.must_run_alone(entry.account, entry.fingerprint)
 
@@ -239,7 +233,8 @@
         return found.objective if found is not None else 0.0
 
     def _account(self, id: str) -> config_model.ClientAccount | None:
-        return self.held.configuration.accounts.get(id)
+        found = self.held.configuration.accounts.get(id)
+        return found or retries.budget_of(id, self.allowance)
 
     def configuration(self) -> config_model.Configuration | None:
         """Returns the configuration in force, or None before the first."""
@@ -344,10 +339,7 @@
         ]
         periodic: list[supervisor.Part] = [
             supervisor.Periodic(name, self.reactor, seconds, action, self.rng)
-            for name, seconds, action in (
-                ("gate", gate.TICK_SECONDS, self.gate.tick),
-                ("target", 1.0, self._expire),
-            )
+            for name, seconds, action in (("target", 1.0, self._expire),)
         ]
         return listeners, [*steps, *periodic]
 
--- a/src/cicadafront/sidecar/endpoints.py
+++ b/src/cicadafront/sidecar/endpoints.py
@@ -75,6 +75,9 @@
     def consumed(self, count: int) -> None:
         pass
 
+    def go(self) -> None:
+        pass
+
     def _send(self, page: Page) -> None:
         self._done = True
         fields = (
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -9,9 +9,10 @@
 from twisted.internet import error
 
 from cicadafront import model
-from cicadafront.agent import idle, observer
+from cicadafront.agent import idle, observer, run
 from cicadafront.health import suspects
 from cicadafront.peer import exchange
+from tests.support import memory
 from tests.support.agent import OK, Site, TargetTransport
 
 
@@ -380,3 +381,49 @@
         site.connector.made[-1].makeConnection(transport)
         self.assertEqual(transport.value(), b"")
         self.assertTrue(transport.aborted)
+
+
+class ConfirmTest(unittest.TestCase):
+    """Guards against requests that run without the consent of their entry."""
+
+    def setUp(self):
+        self.site = Site()
+        request = exchange.OpenRequest(
+            model.RequestHead("POST", "/x", ((b"Host", b"h"),)),
+            "",
+            "s",
+            "t",
+            5.0,
+            confirm=True,
+        )
+        self.response = Granting()
+        self.sink = self.site.agent.open(request, self.response)
+        self.sink.end()
+
+    def test_waits_for_the_entry(self):
+        self.assertEqual(self.response.grants, 1)
+        self.assertEqual(self.site.connector.made, [])
+        self.sink.go()
+        self.assertEqual(len(self.site.connector.made), 1)
+
+    def test_silent_entry(self):
+        self.site.clock.advance(run.GO_SECONDS)
+        self.assertEqual(self.response.events, [("link_lost", "no")])
+        self.sink.go()
+        self.assertEqual(self.site.connector.made, [])
+
+    def test_cancelled_before_it_goes(self):
+        self.sink.cancel()
+        self.sink.go()
+        self.assertEqual(self.site.connector.made, [])
+
+
+class Granting(memory.Response):
+    """Counts the grants."""
+
+    def __init__(self):
+        super().__init__()
+        self.grants = 0
+
+    def granted(self):
+        self.grants += 1
--- /dev/null
+++ b/tests/config/test_follow.py
@@ -0,0 +1,222 @@
+"""Tests of the configuration that is followed as one document."""
+
+import random
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import defer, task
+
+from cicadafront import errors, ports
+from cicadafront.config import current, follow
+from cicadafront.config import model as config_model
+
+KEY = "op/config"
+
+
+def decode(document):
+    """Decodes a document that is only a revision."""
+    if not document.isdigit():
+        raise follow.DocumentError("The document is no number.")
+    return config_model.Configuration(revision=int(document))
+
+
+class Store:
+    """Store with one key; watches wait until something is written."""
+
+    def __init__(self):
+        self.version = 0
+        self.value = b""
+        self.away = False
+        self.waiting = []
+        self.calls = 0
+
+    def write(self, value):
+        """Writes the key and answers the watches."""
+        self.version += 1
+        self.value = value
+        if self.away:
+            return
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.callback(ports.Versioned(value, self.version))
+
+    def lose(self):
+        """Takes the store away; waiting watches fail."""
+        self.away = True
+        waiting, self.waiting = self.waiting, []
+        for done in waiting:
+            done.errback(errors.StoreUnavailableError("away"))
+
+    def get(self, key):
+        self.calls += 1
+        if self.away:
+            return defer.fail(errors.StoreUnavailableError("away"))
+        if not self.version:
+            return defer.succeed(None)
+        return defer.succeed(ports.Versioned(self.value, self.version))
+
+    def watch(self, key, after, timeout):
+        self.calls += 1
+        if self.away:
+            return defer.fail(errors.StoreUnavailableError("away"))
+        if self.version > after:
+            return defer.succeed(ports.Versioned(self.value, self.version))
+        done = defer.Deferred()
+        self.waiting.append(done)
+        return done
+
+
+class Fleet:
+    """Followers that reach one another on virtual time."""
+
+    def __init__(self, count):
+        self.clock = task.Clock()
+        self.stores = [Store() for _ in range(count)]
+        self.handlers = {}
+        self.heard = {}
+        self.broadcasts = 0
+        self.held = [current.CurrentConfiguration() for _ in range(count)]
+        self.returned = []
+        self.followers = [self._follower(n) for n in range(count)]
+
+    def _follower(self, number):
+        here = f"n{number}"
+        return follow.Follower(
+            here,
+            KEY,
+            decode,
+            clock=self.clock,
+            rng=random.Random(number),
+            store=self.stores[number],
+            directory=self,
+            broadcaster=Radio(self, here),
+            calls=Calls(self, here),
+            held=self.held[number],
+            on_return=lambda: self.returned.append(here),
+        )
+
+    def start(self):
+        """Starts all followers."""
+        for follower in self.followers:
+            follower.start()
+
+    def instances(self):
+        return [
+            ports.InstanceInfo(id, 1, "dc", ("", 0)) for id in self.handlers
+        ]
+
+    def run(self, seconds):
+        """Lets time pass."""
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    @property
+    def revisions(self):
+        """Revisions in force."""
+        return [held.revision for held in self.held]
+
+
+class Radio:
+    """Broadcasts of one instance."""
+
+    def __init__(self, fleet, here):
+        self.fleet, self.here = fleet, here
+
+    def broadcast(self, topic, payload):
+        self.fleet.broadcasts += 1
+        for here, handler in self.fleet.heard.items():
+            if here != self.here:
+                handler(payload)
+
+    def on_broadcast(self, topic, handler):
+        self.fleet.heard[self.here] = handler
+
+
+class Calls:
+    """Calls of one instance."""
+
+    def __init__(self, fleet, here):
+        self.fleet, self.here = fleet, here
+
+    def register(self, method, handler):
+        self.fleet.handlers[self.here] = handler
+
+    def call(self, instance, method, body, timeout):
+        return defer.succeed(self.fleet.handlers[instance](self.here, body))
+
+
+class FollowTest(unittest.TestCase):
+    """Guards against instances that keep an old configuration."""
+
+    def test_change_arrives_by_the_watch(self):
+        fleet = Fleet(1)
+        fleet.start()
+        fleet.stores[0].write(b"3")
+        fleet.run(1)
+        self.assertEqual(fleet.revisions, [3])
+        fleet.stores[0].write(b"5")
+        self.assertEqual(fleet.revisions, [5])
+
+    @parameterized.expand([("older", b"2"), ("damaged", b"x"), ("empty", b"")])
+    def test_revision_never_goes_back(self, _name, document):
+        fleet = Fleet(1)
+        fleet.stores[0].write(b"3")
+        fleet.start()
+        fleet.stores[0].write(document)
+        fleet.run(1)
+        self.assertEqual(fleet.revisions, [3])
+        fleet.stores[0].write(b"4")
+        self.assertEqual(fleet.revisions, [4])
+
+    def test_instance_turned_away_learns_from_its_peers(self):
+        fleet = Fleet(3)
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.start()
+        fleet.stores[2].lose()
+        for store in fleet.stores[:2]:
+            store.write(b"2")
+        fleet.run(2 * follow.PEER_SECONDS)
+        self.assertEqual(fleet.revisions, [2, 2, 2])
+
+    def test_silent_watch_is_made_up_by_a_broadcast(self):
+        fleet = Fleet(3)
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.start()
+        fleet.stores[2].waiting.clear()
+        for store in fleet.stores:
+            store.write(b"2")
+        fleet.run(2 * follow.TELL_SECONDS)
+        self.assertEqual(fleet.revisions, [2, 2, 2])
+
+    def test_few_instances_tell_the_others(self):
+        fleet = Fleet(20)
+        fleet.start()
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.run(1)
+        self.assertLessEqual(fleet.broadcasts, 2)
+
+    def test_return_of_the_store(self):
+        fleet = Fleet(1)
+        fleet.stores[0].write(b"1")
+        fleet.start()
+        fleet.stores[0].lose()
+        fleet.run(20)
+        # The waits double, so that an outage costs few calls.
+        self.assertLess(fleet.stores[0].calls, 25)
+        fleet.stores[0].away = False
+        fleet.stores[0].write(b"2")
+        fleet.returned.clear()
+        fleet.run(follow.LAST_RETRY_SECONDS)
+        self.assertEqual(fleet.revisions, [2])
+        self.assertEqual(fleet.returned, ["n0"])
+
+    def test_other_content_of_the_same_revision(self):
+        fleet = Fleet(1)
+        fleet.stores[0].write(b"3")
+        fleet.start()
+        first = fleet.held[0].configuration
+        fleet.stores[0].write(b"03")
+        self.assertIs(fleet.held[0].configuration, first)
--- /dev/null
+++ b/tests/limits/test_shares.py
@@ -0,0 +1,170 @@
+"""Tests of rates that are shared without leases."""
+
+import random
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import defer, task
+
+from cicadafront import errors, ports
+from cicadafront.config import model as config_model
+from cicadafront.limits import shares
+from cicadafront.peer import failures
+
+NAMES = [f"n{number}" for number in range(10)]
+
+
+class Net:
+    """Instances on virtual time whose calls can be cut."""
+
+    def __init__(self, rate=50.0, burst=20.0):
+        self.clock = task.Clock()
+        self.account = config_model.ClientAccount("a", rate, burst)
+        self.cut = set()
+        self.handlers = {}
+        self.calls = 0
+        self.members = {
+            name: shares.SharedAdmission(
+                name,
+                self.clock,
+                Calls(self, name),
+                Directory(self, name),
+                lambda id: self.account,
+                lambda name=name: name in self.cut,
+            )
+            for name in NAMES
+        }
+        self.keeper, self.deputy = shares.keepers("a", NAMES)
+
+    def ask(self, name, accept):
+        """Asks for one admission at an instance."""
+        done = self.members[name].admit(self.account)
+        done.addCallbacks(
+            lambda _: accept(True), self._refused, (), {}, (accept,)
+        )
+
+    def _refused(self, reason, accept):
+        reason.trap(errors.RateExceededError)
+        accept(False)
+
+    def load(self, rng, names, per_second, seconds):
+        """Offers a load; returns the admitted and the refused requests."""
+        found = []
+        step = 1.0 / per_second
+        for _ in range(round(per_second * seconds)):
+            self.ask(rng.choice(names), found.append)
+            self.clock.advance(step)
+        self.clock.advance(shares.CALL_SECONDS)
+        return found.count(True), found.count(False)
+
+
+class Directory:
+    """All instances that are not known to be gone."""
+
+    def __init__(self, net, here):
+        self.net, self.here = net, here
+
+    def instances(self):
+        return [ports.InstanceInfo(n, 1, "dc", ("", 0)) for n in NAMES]
+
+    def on_change(self, handler):
+        pass
+
+
+class Calls:
+    """Calls of one instance."""
+
+    def __init__(self, net, here):
+        self.net, self.here = net, here
+
+    def register(self, method, handler):
+        self.net.handlers[self.here] = handler
+
+    def call(self, instance, method, body, timeout):
+        self.net.calls += 1
+        done = defer.Deferred()
+        if {instance, self.here} & self.net.cut:
+            error = failures.call_error("call_timeout", "cut")
+            self.net.clock.callLater(timeout, done.errback, error)
+        else:
+            answer = self.net.handlers[instance](self.here, body)
+            self.net.clock.callLater(0.001, done.callback, answer)
+        return done
+
+
+class SharesTest(unittest.TestCase):
+    """Guards against accounts beyond their rate, and refusals within it."""
+
+    def setUp(self):
+        self.rng = random.Random(1)
+
+    def test_no_refusal_within_the_rate(self):
+        net = Net()
+        admitted, refused = net.load(self.rng, NAMES, 45, 20)
+        self.assertEqual((admitted, refused), (900, 0))
+
+    @parameterized.expand([("spread", NAMES), ("one", NAMES[:1])])
+    def test_hot_account_gets_its_rate(self, _name, names):
+        net = Net()
+        admitted, _ = net.load(self.rng, names, 400, 10)
+        self.assertLessEqual(admitted, 50 * 10 + 20)
+        self.assertGreaterEqual(admitted, 0.95 * 50 * 10)
+
+    @parameterized.expand([("within", 45), ("hot", 400)])
+    def test_keeper_cut_off(self, _name, per_second):
+        net = Net()
+        net.cut = {net.keeper}
+        admitted, refused = net.load(self.rng, NAMES, per_second, 10)
+        self.assertLessEqual(admitted, (50 * 10 + 20) * 1.1 + 20)
+        if per_second < 50:
+            # Only the instance that is cut off refuses a part.
+            counts = net.members[net.keeper].counts
+            self.assertEqual(refused, counts["share_refused"])
+
+    def test_fifth_of_the_instances_cut_off(self):
+        net = Net()
+        keepers = {net.keeper, net.deputy}
+        net.cut = set([name for name in NAMES if name not in keepers][:2])
+        admitted, _ = net.load(self.rng, NAMES, 400, 10)
+        self.assertLessEqual(admitted, (50 * 10 + 20) * 1.1 + 20)
+
+    def test_no_keeper_answers(self):
+        net = Net()
+        net.cut = {net.keeper, net.deputy}
+        admitted, _ = net.load(self.rng, NAMES, 400, 10)
+        self.assertLessEqual(admitted, 50 * 10)
+        self.assertGreater(admitted, 0.5 * 50 * 10)
+
+    def test_new_keeper_starts_with_a_part_of_the_burst(self):
+        ledger = shares.Ledger()
+        account = config_model.ClientAccount("a", 1.0, 20.0)
+        granted = sum(ledger.grant(0.0, account, 1)[0] for _ in range(50))
+        self.assertEqual(granted, 20 * shares.FIRST_SHARE)
+
+    def test_lower_limit_holds_at_once(self):
+        net = Net()
+        net.load(self.rng, NAMES, 45, 2)
+        net.account = config_model.ClientAccount("a", 5.0, 5.0)
+        admitted, _ = net.load(self.rng, NAMES, 45, 10)
+        self.assertLessEqual(admitted, 5 * 10 + 5 + 2)
+
+    def test_no_limit(self):
+        net = Net(rate=0.0)
+        admitted, refused = net.load(self.rng, NAMES, 400, 1)
+        self.assertEqual((admitted, refused, net.calls), (400, 0, 0))
+
+    def test_busy_instance_asks_less_than_once_a_request(self):
+        net = Net(rate=1000.0, burst=500.0)
+        other = next(name for name in NAMES if name != net.keeper)
+        net.load(self.rng, [other], 400, 5)
+        self.assertLess(net.calls, 0.6 * 2000)
+
+    def test_keepers_are_spread(self):
+        kept = {shares.keepers(f"a{n}", NAMES)[0] for n in range(200)}
+        self.assertEqual(kept, set(NAMES))
+
+    def test_refusal_tells_when_to_return(self):
+        ledger = shares.Ledger()
+        account = config_model.ClientAccount("a", 2.0, 1.0)
+        ledger.grant(0.0, account, 1)
+        self.assertEqual(ledger.grant(0.0, account, 1), (0, 0.5))
--- /dev/null
+++ b/tests/membership/test_registration.py
@@ -0,0 +1,146 @@
+"""Tests of the registration of instances in the store."""
+
+import random
+import unittest
+
+from twisted.internet import defer, task
+
+from cicadafront import errors, ports
+from cicadafront.membership import registration
+
+
+class Store:
+    """Store whose leases end only when a test ends them."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.entries = {}
+        self.leases = set()
+        self.granted = 0
+        self.away = False
+        self.calls = []
+
+    def _answer(self, call, action):
+        self.calls.append(call)
+        if self.away:
+            error = errors.StoreUnavailableError("away")
+            done = defer.Deferred()
+            self.clock.callLater(0.5, done.errback, error)
+            return done
+        return defer.maybeDeferred(action)
+
+    def end_leases(self):
+        """Ends all leases and their entries."""
+        self.leases.clear()
+        self.entries.clear()
+
+    def grant_lease(self, ttl):
+        def grant():
+            self.granted += 1
+            self.leases.add(str(self.granted))
+            return str(self.granted)
+
+        return self._answer("grant", grant)
+
+    def renew_lease(self, lease):
+        def renew():
+            if lease not in self.leases:
+                raise errors.StoreConflictError("ended")
+
+        return self._answer("renew", renew)
+
+    def revoke_lease(self, lease):
+        return self._answer("revoke", lambda: self.leases.discard(lease))
+
+    def put(self, key, value, expected=None, lease=""):
+        def put():
+            if lease not in self.leases:
+                raise errors.StoreConflictError("no lease")
+            self.entries[key] = ports.Versioned(value, 1, lease)
+            return 1
+
+        return self._answer("put", put)
+
+    def list(self, prefix):
+        return self._answer("list", lambda: dict(self.entries))
+
+
+class RegistrationTest(unittest.TestCase):
+    """Guards against instances that newcomers do not find."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = Store(self.clock)
+        self.found = []
+        self.alone = True
+
+    def register(self, name="n1", port=1):
+        """Starts the registration of an instance."""
+        made = registration.Registration(
+            name,
+            ("10.0.0.1", port),
+            clock=self.clock,
+            rng=random.Random(port),
+            store=self.store,
+            found=self.found.extend,
+            alone=lambda: self.alone,
+        )
+        made.start()
+        return made
+
+    def run_for(self, seconds):
+        """Lets time pass."""
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+
+    def test_newcomer_finds_the_others(self):
+        self.register()
+        self.found.clear()
+        self.register("n2", 2)
+        self.assertEqual(self.found, [("10.0.0.1", 1)])
+
+    def test_damaged_entry_hurts_no_other(self):
+        self.register()
+        for number, value in enumerate((b"x", b"{}", b'{"gossip": 3}')):
+            key = f"{registration.PREFIX}x{number}"
+            self.store.entries[key] = ports.Versioned(value, 1)
+        self.found.clear()
+        self.register("n2", 2)
+        self.assertEqual(self.found, [("10.0.0.1", 1)])
+
+    def test_calls_of_a_minute(self):
+        self.alone = False
+        self.register()
+        self.run_for(60)
+        self.assertLessEqual(len(self.store.calls), 6)
+
+    def test_lapsed_entry_is_back_with_the_store(self):
+        made = self.register()
+        self.store.away = True
+        self.run_for(30)
+        self.store.end_leases()
+        self.store.away = False
+        made.store_returned()
+        self.run_for(2)
+        self.assertEqual(len(self.store.entries), 1)
+
+    def test_lost_store_at_the_start(self):
+        self.store.away = True
+        self.register()
+        self.run_for(10)
+        self.assertLess(len(self.store.calls), 15)
+        self.store.away = False
+        self.run_for(registration.LAST_RETRY_SECONDS + 0.5)
+        self.assertEqual(len(self.store.entries), 1)
+
+    def test_lone_instance_looks_again(self):
+        self.register()
+        self.store.entries[registration.PREFIX + "n2"] = ports.Versioned(
+            b'{"gossip": ["10.0.0.2", 2]}', 1
+        )
+        self.run_for(registration.ALONE_SECONDS + 0.2)
+        self.assertEqual(self.found, [("10.0.0.2", 2)])
+
+    def test_stop_ends_the_lease(self):
+        self.register().stop()
+        self.assertEqual(self.store.leases, set())
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,176 @@
+"""Tests of the client of the platform's store, against a scripted server."""
+
+import base64
+import json
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import defer, protocol
+
+from cicadafront import errors, ports
+from cicadafront.cli import loop
+from cicadafront.edge import server
+from cicadafront.platform import http, store
+from cicadafront.sidecar import endpoints
+
+ITEM = {
+    "key": "k",
+    "value": base64.b64encode(b"v").decode(),
+    "rev": 4,
+    "created": 4,
+    "lease": 0,
+}
+
+
+class Scripted:
+    """Server that answers each call with the next page of a script."""
+
+    def __init__(self, pages):
+        self.pages = list(pages)
+        self.calls = []
+
+    def answer(self, head, body):
+        """Returns the next page and keeps the call."""
+        self.calls.append((head.method, head.path, body))
+        status, document = self.pages.pop(0)
+        return endpoints.Page(status, json.dumps(document).encode())
+
+
+class Silent(protocol.Protocol):
+    """Accepts connections and answers nothing, or closes them."""
+
+    close = False
+
+    def dataReceived(self, data):  # noqa: N802
+        if self.close:
+            self.transport.abortConnection()
+
+
+class StoreTest(unittest.TestCase):
+    """Guards against answers that are read as something else."""
+
+    def serve(self, factory):
+        """Serves a factory; returns a client of it."""
+        reactor = loop.reactor()
+
+        def start():
+            port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+            address = "127.0.0.1", port.getHost().port
+            return defer.succeed((port, store.Store(reactor, address)))
+
+        port, client = loop.call(start)
+
+        def stop():
+            client.close()
+            return defer.maybeDeferred(port.stopListening)
+
+        self.addCleanup(loop.call, stop)
+        return client
+
+    def script(self, *pages):
+        """Serves a script; returns it and a client."""
+        scripted = Scripted(pages)
+        site = server.Site(endpoints.Endpoints(scripted.answer), loop.reactor())
+        return scripted, self.serve(server.Factory(site))
+
+    def test_item(self):
+        scripted, client = self.script((200, {**ITEM, "store_revision": 9}))
+        found = loop.call(lambda: client.get("k"))
+        self.assertEqual(found, ports.Versioned(b"v", 4, ""))
+        self.assertEqual(scripted.calls, [("GET", "/-/kv-key?key=k", b"")])
+
+    def test_missing_item(self):
+        _, client = self.script((404, {"store_revision": 9}))
+        self.assertIsNone(loop.call(lambda: client.get("k")))
+
+    def test_pages_of_a_list(self):
+        other = {**ITEM, "key": "l"}
+        scripted, client = self.script(
+            (200, {"items": [ITEM], "has_more": True}),
+            (200, {"items": [other], "has_more": False}),
+        )
+        found = loop.call(lambda: client.list("p/"))
+        self.assertEqual(sorted(found), ["k", "l"])
+        self.assertIn("after=k", scripted.calls[1][1])
+
+    @parameterized.expand([("free", None, []), ("condition", 3, [3])])
+    def test_put(self, _name, expected, conditions):
+        scripted, client = self.script((200, {"rev": 12}))
+        version = loop.call(lambda: client.put("k", b"v", expected, "7"))
+        self.assertEqual(version, 12)
+        sent = json.loads(scripted.calls[0][2])
+        self.assertEqual([c["rev"] for c in sent["expected"]], conditions)
+        put = {"key": "k", "value": ITEM["value"], "lease": 7}
+        self.assertEqual((sent["puts"], sent["remove"]), ([put], []))
+
+    @parameterized.expand(
+        [
+            ("changed", 412, errors.StoreConflictError),
+            ("no_lease", 404, errors.StoreConflictError),
+            ("too_many_calls", 429, errors.StoreUnavailableError),
+            ("nothing_done", 503, errors.StoreUnavailableError),
+            ("forbidden", 403, errors.StoreUnavailableError),
+        ]
+    )
+    def test_refused_write(self, _name, status, kind):
+        _, client = self.script((status, {}))
+        with self.assertRaises(kind):
+            loop.call(lambda: client.put("k", b"v"))
+
+    def test_watch_takes_the_newest_event_of_its_key(self):
+        events = [
+            ITEM,
+            {**ITEM, "key": "k2", "rev": 8},
+            {**ITEM, "rev": 9},
+        ]
+        _, client = self.script((200, {"events": events, "store_revision": 9}))
+        found = loop.call(lambda: client.watch("k", 1, 5.0))
+        self.assertEqual(found.version, 9)
+
+    def test_watch_goes_on_where_the_store_was(self):
+        scripted, client = self.script(
+            (200, {"events": [], "store_revision": 50}),
+            (200, {"events": [], "store_revision": 60}),
+        )
+        for _ in range(2):
+            self.assertIsNone(loop.call(lambda: client.watch("k", 4, 5.0)))
+        self.assertIn("after=4&", scripted.calls[0][1])
+        self.assertIn("after=50&", scripted.calls[1][1])
+
+    def test_forgotten_history_is_read_anew(self):
+        scripted, client = self.script(
+            (410, {}), (200, {**ITEM, "store_revision": 9})
+        )
+        found = loop.call(lambda: client.watch("k", 1, 5.0))
+        self.assertEqual(found.version, 4)
+        self.assertEqual(len(scripted.calls), 2)
+
+    def test_lease(self):
+        scripted, client = self.script(
+            (200, {"lease": 77, "ttl_s_time": 3}),
+            (200, {"ttl_s_time": 3}),
+            (404, {}),
+        )
+        lease = loop.call(lambda: client.grant_lease(3))
+        loop.call(lambda: client.renew_lease(lease))
+        with self.assertRaises(errors.StoreConflictError):
+            loop.call(lambda: client.renew_lease(lease))
+        self.assertEqual(scripted.calls[1][1], "/-/kv-keep/77")
+
+    @parameterized.expand([("silent", False), ("closes", True)])
+    def test_no_answer(self, _name, close):
+        factory = protocol.Factory.forProtocol(Silent)
+        factory.protocol = type("P", (Silent,), {"close": close})
+        client = self.serve(factory)
+        with self.assertRaises(errors.StoreUnavailableError):
+            loop.call(lambda: client._http.call("GET", "/x", b"", 0.2))
+
+    def test_connection_is_used_again(self):
+        _, client = self.script(*[(200, {**ITEM, "store_revision": 9})] * 3)
+        for _ in range(3):
+            loop.call(lambda: client.get("k"))
+        self.assertEqual(len(client._http._idle), 1)
+
+    def test_document_that_cannot_be_read(self):
+        with self.assertRaises(errors.StoreUnavailableError):
+            store._document(http.Reply(200, b"{"))
