Carry fewer bytes between data centres

Cause: each refused request had carried its body (up to 60 KB) to the agent, requests went to other data centres while near targets had slots, and a first start broadcast every target to all. Change: bodies follow the grant; two near targets are asked first; a first start relies on digests and two further reads of the fleet's state; links close within the time of a planned stop.

--- a/src/cicadafront/daemon/options.py
+++ b/src/cicadafront/daemon/options.py
@@ -27,6 +27,8 @@
         accept_seconds: Time from the announcement of a planned stop for
             which new callers are still accepted.
         connect_seconds: Time limit of a connection to another instance.
+        link_close_seconds: Time that peers have to close their side of a
+            finished link.
     """
 
     instance: str
@@ -38,3 +40,4 @@
     stop_seconds: float = 60.0
     accept_seconds: float = 0.0
     connect_seconds: float = pool.CONNECT_SECONDS
+    link_close_seconds: float = 1.0
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -23,8 +23,6 @@
 DRAIN_CHECK_SECONDS = 0.02
 # Limit of the hand-over of shards; their state is in memory and small.
 HAND_OVER_SECONDS = 8.0
-# Time that peers have to close their side of a finished link.
-LINK_CLOSE_SECONDS = 1.0
 
 
 @attrs.define
@@ -390,5 +388,5 @@
         for accepted in list(self._peers.links):
             accepted.finish()
         self.calls.close()
-        limit = self._reactor.seconds() + LINK_CLOSE_SECONDS
+        limit = self._reactor.seconds() + self._settings.link_close_seconds
         return self._until(limit, lambda: not self._peers.links)
--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -43,6 +43,9 @@
     def attempt_took(self, attempt: "Attempt", total: int) -> None:
         """The target took `total` bytes of the body so far."""
 
+    def attempt_granted(self, attempt: "Attempt") -> None:
+        """The agent may hand the request over and takes its body."""
+
 
 class Attempt:
     """Takes the answer of one attempt and drops what comes after its end.
@@ -93,6 +96,7 @@
         self.confirms = False
         self._forget_grant()
         self.request.go()
+        self._parent.attempt_granted(self)
 
     def _silent(self) -> None:
         """Gives up an agent that does not answer; it runs nothing."""
@@ -119,6 +123,9 @@
 
     def overtaken(self) -> None:
         """Drops the answer, because another attempt was faster."""
+        if self.confirms:
+            self.cancel()
+            return
         self._parent = _Overtaken(self._site)
         self.span.fields["overtaken"] = True
         age = self._site.clock.seconds() - self._began
@@ -202,3 +209,6 @@
 
     def attempt_took(self, attempt: Attempt, total: int) -> None:
         pass
+
+    def attempt_granted(self, attempt: Attempt) -> None:
+        pass
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -150,7 +150,10 @@
             sink.consumed(count)
 
     def _sink(self) -> exchange.RequestSink | None:
-        return self._current.request if self._current is not None else None
+        current = self._current
+        if current is None or current.confirms:
+            return None
+        return current.request
 
     def _try(self, otherwise: errors.RequestError) -> None:
         via = ""
@@ -184,9 +187,10 @@
                 found = self._pick()
             if found is not None or len(self._rounds) == 1:
                 return found
-            del self._rounds[0]
+            last = self._rounds.pop(0)
             self._asked = 0
-            self._excluded = set(self._shut)
+            if self._rounds[0].insist > last.insist:
+                self._excluded = set(self._shut)
 
     def _opened(self, target: model.Target, via: str) -> attempt.Attempt:
         self._count += 1
@@ -208,13 +212,23 @@
         request = self._request(target, via, opened.span.context)
         sink = self._site.open_at(via or target.instance, request, opened)
         opened.attach(sink, request)
-        if opened.done:
+        if not (opened.done or opened.confirms):
+            self._pour(opened)
+
+    def _pour(self, opened: attempt.Attempt) -> None:
+        """Sends what has arrived of the request's body."""
+        sink = opened.request
+        if sink is None:
             return
         for piece in self._body.pieces():
             sink.body(piece)
         if self._body.complete and not opened.done:
             sink.end()
 
+    def attempt_granted(self, attempt: attempt.Attempt) -> None:
+        """Sends the body: an agent that refuses must not have cost it."""
+        self._pour(attempt)
+
     # Hedges.
 
     def _plan_hedge(self) -> None:
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -106,6 +106,15 @@
             self._purge: now + PURGE_SECONDS,
         }
 
+    @property
+    def eager(self) -> bool:
+        """Whether every change of a target is broadcast."""
+        return self._state.eager
+
+    @eager.setter
+    def eager(self, eager: bool) -> None:
+        self._state.eager = eager
+
     @property
     def me(self) -> records.InstanceRecord:
         """The record of this instance."""
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -97,6 +97,11 @@
         port, self._port = self._port, None
         return defer.maybeDeferred(port.stopListening) if port else _done()
 
+    def rejoin(self) -> None:
+        """Fetches the state of the fleet again from a random peer."""
+        if self._core.peers():
+            self.joined = False
+
     def when_joined(self) -> "defer.Deferred[None]":
         """Fires once the full state was received."""
         if self.joined:
--- a/src/cicadafront/membership/state.py
+++ b/src/cicadafront/membership/state.py
@@ -50,7 +50,7 @@
         self.fresh_claims = False
         self.superseded = False
         self._id = me.id
-        self._eager = eager
+        self.eager = eager
         self._version = 0
         self._store_own(now, me, urgent=False)
 
@@ -96,7 +96,7 @@
         )
         if record != held:
             urgent = record.state in _URGENT_STATES or record.gone
-            if self._eager:
+            if self.eager:
                 urgent = True
                 # Without its owner, others cannot use a new target.
                 self.urgent[table.key_of(self.me)] = None
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -33,8 +33,10 @@
 # Callers learn of a planned stop by the second health check that fails; the
 # platform sends one each second.
 ACCEPT_SECONDS = 2.5
-# Time between the end of a planned stop and the platform's SIGKILL.
-STOP_MARGIN_SECONDS = 0.6
+# Time between the end of running requests and the platform's SIGKILL; the
+# links are closed meanwhile.
+STOP_MARGIN_SECONDS = 0.8
+LINK_CLOSE_SECONDS = 0.4
 # Round trips take 1 ms; a lost opening packet is sent again after 1 s, when
 # another instance has long answered.
 CONNECT_SECONDS = 0.3
@@ -42,7 +44,12 @@
 COLD = picker.Cold(seconds=3.0, weight=0.4)
 # Candidates with a free slot, then places in a queue, then suspended targets.
 ASKING = policies.Asking(
-    (policies.Round(0, 6), policies.Round(1, 3), policies.Round(2, 2)),
+    (
+        policies.Round(0, 2, near=True),
+        policies.Round(0, 4),
+        policies.Round(1, 3),
+        policies.Round(2, 2),
+    ),
     # A short wait in the own data centre is cheaper than the way to another.
     large=(policies.Round(0, 4, near=True), policies.Round(1, 2, near=True)),
     free=True,
@@ -59,6 +66,12 @@
     eager=True,
     tick_seconds=0.2,
 )
+# When the whole fleet starts for the first time, comparing what each knows is
+# cheaper than a broadcast of every target to all; until then no caller comes.
+FIRST_START_SECONDS = 8.0
+# Times after the start at which the state of the fleet is read again from a
+# peer, which may have known little itself the first time.
+JOIN_AGAIN_SECONDS = (3.0, 6.0)
 
 _log = logs.Log("sidecar")
 
@@ -85,6 +98,7 @@
             accept_seconds=ACCEPT_SECONDS,
             stop_seconds=chosen.stop_seconds - STOP_MARGIN_SECONDS,
             connect_seconds=CONNECT_SECONDS,
+            link_close_seconds=LINK_CLOSE_SECONDS,
         )
         self.rng = random.Random(random.SystemRandom().getrandbits(64))
         self.metrics = metrics.Metrics()
@@ -129,6 +143,8 @@
         )
         # The addresses of others come from the store.
         self.membership.joined = False
+        if chosen.first_start:
+            self.gossip.eager = False
         self.directory = self.membership.directory
         watch.FleetWatch(self.directory)
         self.registration = registration.Registration(
@@ -195,6 +211,16 @@
         )
         self.budget = retries.FleetRetries(self.admission, self.allowance)
 
+    def _settle(self) -> None:
+        """Plans what the membership does in its first seconds."""
+        for seconds in JOIN_AGAIN_SECONDS:
+            self.reactor.callLater(seconds, self.membership.rejoin)
+        if self.settings.first_start:
+            self.reactor.callLater(FIRST_START_SECONDS, self._be_eager)
+
+    def _be_eager(self) -> None:
+        self.gossip.eager = PACE.eager
+
     def _found(self, addresses: list[tuple[str, int]]) -> None:
         seeds = [*self.gossip.seeds, *addresses]
         me = self.settings.gossip
@@ -340,6 +366,7 @@
                 ("registration", self.registration),
             )
         ]
+        steps.append(supervisor.Step("settling", self._settle, lambda: None))
         periodic: list[supervisor.Part] = [
             supervisor.Periodic(name, self.reactor, seconds, action, self.rng)
             for name, seconds, action in (("target", 1.0, self._expire),)
--- a/src/cicadafront/sidecar/settings.py
+++ b/src/cicadafront/sidecar/settings.py
@@ -46,6 +46,7 @@
         store: Address of the platform's key-value store.
         target: Address of the target beside this instance.
         service: Service of that target until its heartbeat names one.
+        first_start: Whether the whole fleet starts for the first time.
         stop_seconds: Time from SIGTERM to SIGKILL.
         retry_share: Part of a service's requests that may be sent to a
             second target, over the whole fleet.
@@ -66,6 +67,7 @@
     store: Address
     target: Address
     service: str = ""
+    first_start: bool = False
     stop_seconds: float = 6.0
     retry_share: float = 0.2
     retry_extra: float = 60.0
@@ -90,6 +92,7 @@
     "store": schema.Field(settings.address, required=True),
     "target": schema.Field(settings.address, required=True),
     "service": schema.Field(_optional_name),
+    "first_start": schema.Field(schema.boolean),
     "stop_seconds": schema.Field(schema.number(0, 3600, " (seconds)")),
     "retry_share": schema.Field(schema.number(0, 10)),
     "retry_extra": schema.Field(schema.number(0, 1e6)),
