Doubt a target that refuses work while it has a slot

Cause: a gray target that sheds at once looks idle and attracts load; each shed request uses the retry budget. Change: a shed request is evidence, as in health/spells.py.

--- a/src/cicadafront/health/spells.py
+++ b/src/cicadafront/health/spells.py
@@ -32,6 +32,9 @@
 # failure may come from the request itself, two in a row seldom do.
 DOUBT = 0.5
 SUSPEND = 1.6
+# Evidence of a request that the target refuses although it has a slot: it
+# would attract work by refusing faster than others run it.
+SHED = 0.6
 # A success outweighs this share of the evidence.
 FORGIVEN_SHARE = 0.6
 # Time constant with which evidence fades, about the length of a gray spell.
@@ -135,6 +138,13 @@
             self.reasons[reason] += 1
             self._add(now, 1.0)
 
+    def shed(self, now: float, run: Run) -> None:
+        """Notes a request that the target refused to run."""
+        if run in self.running:
+            self.running.discard(run)
+            self.reasons["shed"] += 1
+            self._add(now, SHED)
+
     def gave_up(self, now: float, run: Run) -> None:
         """Notes a request that was cancelled, by its caller or its entry."""
         if run not in self.running:
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -198,7 +198,7 @@
             case observer.Stalled():
                 spell.bad(now, run, "deadline")
             case observer.Shed(status):
-                spell.running.discard(run)
+                spell.shed(now, run)
                 self._shed(token.running.target, status)
             case observer.Cancelled():
                 spell.gave_up(now, run)
--- a/tests/health/test_spells.py
+++ b/tests/health/test_spells.py
@@ -52,6 +52,13 @@
             self.spell.bad(now, self.start(now), "status_500")
         self.assertIs(self.spell.standing(0.01 * count), expected)
 
+    @parameterized.expand([(1, DOUBTED), (2, DOUBTED), (4, SUSPENDED)])
+    def test_target_that_refuses_in_a_row(self, count, expected):
+        for number in range(count):
+            now = 0.01 * number
+            self.spell.shed(now, self.start(now))
+        self.assertIs(self.spell.standing(0.01 * count), expected)
+
     def test_single_failures_among_good_ones(self):
         for number in range(100):
             now = 0.1 * number
