--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -133,6 +133,20 @@
         """Targets of the service that an instance knows."""
         return instance.built.directory.targets("reads")
 
+    def serving(self, instance):
+        """Targets beside instances of the current processes."""
+        current = {
+            each.settings.instance: each.built.options.incarnation
+            for each in self.instances
+        }
+        known = instance.built.directory
+        return [
+            target
+            for target in self.known(instance)
+            if known.instance(target.instance).incarnation
+            == current[target.instance]
+        ]
+
     async def until(self, condition):
         """Waits until a condition holds."""
         for _ in range(int(PATIENCE_SECONDS / 0.05)):
@@ -226,6 +240,32 @@
 
         self.assertEqual(self.run_test(ask()), [200] * 12)
 
+    def test_all_killed_at_once(self):
+        async def restart():
+            port = self.port.getHost().port
+            for old in self.instances:
+                old.built.gossip.depart = lambda now: []
+                old.built.registration.stop = lambda: None
+                old.daemon.calls.close()
+                await old.daemon.tree.stop()
+                await old.listening.stopListening()
+            self.instances = [
+                Instance(self.reactor, name, port) for name in ("n1", "n2")
+            ]
+            for new in self.instances:
+                await new.daemon.start()
+                await new.beat()
+            for new in self.instances:
+                await self.until(
+                    lambda new=new: (
+                        len(self.serving(new)) == 2
+                        and new.built.held.revision == 1
+                    )
+                )
+            return [(await self.ask(i))[0] for i in self.instances]
+
+        self.assertEqual(self.run_test(restart()), [200, 200])
+
     def test_planned_stop(self):
         async def stop():
             ready = await self.one.call("readiness", "/-/ready")
