Finish running requests whose key is withdrawn

Change: the sidecar deployment finishes what a target has and refuses what only waits; the test tests.edge.test_asking.WithdrawnTest fails without it. Unused settings and fields are removed.

--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -109,6 +109,12 @@
         """Whether an attempt is under way."""
         return any(not copy.done for copy in self._copies())
 
+    @property
+    def handed_over(self) -> bool:
+        """Whether a target may have the request at the moment."""
+        copies = self._copies()
+        return any(not (copy.done or copy.confirms) for copy in copies)
+
     def _copies(self) -> list[attempt.Attempt]:
         copies = (self._current, self._hedge)
         return [copy for copy in copies if copy is not None]
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -273,6 +273,9 @@
         """Whether the request is completed without its caller."""
         return self._ticket is not None and self._body.complete
 
+    def _handed_over(self) -> bool:
+        return self._attempts is not None and self._attempts.handed_over
+
     def _leave_caller(self) -> None:
         self._caller = _Absent(self)
         self.consumed(self._unread)
@@ -289,6 +292,8 @@
             return
         if order.still_valid(self._site, self._order, self._token):
             return
+        if self._site.asking.finish_withdrawn and self._handed_over():
+            return
         self._site.counts["exchanges_withdrawn"] += 1
         error = errors.KeyUnknownError("The key was withdrawn meanwhile.")
         if self._goes_on():
--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -42,6 +42,8 @@
             a server error goes to another one.
         hedge_by_route: Whether hedges follow the latencies of the route and
             not those of the service.
+        finish_withdrawn: Whether a request that a target has is finished
+            when its key is withdrawn meanwhile.
         confirm: Whether agents on other instances ask before they hand a
             request over.
     """
@@ -52,6 +54,7 @@
     retry_errors: bool = False
     hedge_by_route: bool = False
     confirm: bool = False
+    finish_withdrawn: bool = False
 
 
 class Picker(Protocol):
--- a/src/cicadafront/membership/beats.py
+++ b/src/cicadafront/membership/beats.py
@@ -37,7 +37,6 @@
         state: Serving or leaving.
         number: Grows with each heartbeat of one incarnation.
         incarnation: Grows with each start under the same id or address.
-        cold_seconds: Seconds for which it stays slow after its start.
     """
 
     target: str
@@ -47,7 +46,6 @@
     state: model.TargetState
     number: int
     incarnation: int = 0
-    cold_seconds: float = 0.0
 
 
 @attrs.define
--- a/src/cicadafront/platform/heartbeats.py
+++ b/src/cicadafront/platform/heartbeats.py
@@ -45,8 +45,6 @@
             # Unix milliseconds at which the target started; absent from
             # targets of the first form.
             incarnation=_whole(message.get("born", 0)),
-            # How much longer it is slow after its start.
-            cold_seconds=_seconds(status.get("cold_remaining_s", 0)),
         )
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         raise HeartbeatError(
@@ -82,12 +80,6 @@
     return slots
 
 
-def _seconds(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError("a duration is no number")
-    return max(0.0, float(value))
-
-
 def _state(value: Any) -> model.TargetState:
     if not isinstance(value, str) or value not in _STATES:
         raise ValueError("the state is not known")
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -56,6 +56,8 @@
     retry_errors=True,
     hedge_by_route=True,
     confirm=True,
+    # A target at work is not cut off: the key was valid when it began.
+    finish_withdrawn=True,
 )
 # A target that joins must get work within two seconds. The bytes bound the
 # burst of announcements at the start of a fleet of 100 instances; a quiet
--- a/src/cicadafront/sidecar/settings.py
+++ b/src/cicadafront/sidecar/settings.py
@@ -52,7 +52,6 @@
             second target, over the whole fleet.
         retry_extra: Further such requests in `retry_window_seconds`.
         retry_window_seconds: Length of the window of `retry_extra`.
-        floor: Share of a service's slots that ejection leaves in use.
         log_level: Least severity that is logged.
     """
 
@@ -72,7 +71,6 @@
     retry_share: float = 0.2
     retry_extra: float = 60.0
     retry_window_seconds: float = 10.0
-    floor: float = 0.7
     log_level: str = "info"
 
 
@@ -97,7 +95,6 @@
     "retry_share": schema.Field(schema.number(0, 10)),
     "retry_extra": schema.Field(schema.number(0, 1e6)),
     "retry_window_seconds": schema.Field(schema.number(0.1, 3600)),
-    "floor": schema.Field(schema.number(0, 1)),
 }
 _TABLES = {"": _TOP, "addresses": _ADDRESSES, "sidecar": _SIDECAR}
 
--- a/tests/edge/test_asking.py
+++ b/tests/edge/test_asking.py
@@ -20,6 +20,7 @@
     free=True,
     retry_errors=True,
     confirm=True,
+    finish_withdrawn=True,
 )
 
 
@@ -70,7 +71,14 @@
     """An entry in front of the targets t1 to t4."""
 
     def __init__(
-        self, path="/once", left=9, attempts=2, length=b"0", body=b"", end=True
+        self,
+        path="/once",
+        left=9,
+        attempts=2,
+        length=b"0",
+        body=b"",
+        end=True,
+        token="",
     ):
         self.clock = task.Clock()
         self.opener = Opener()
@@ -107,8 +115,8 @@
         self.caller = memory.Response()
         fields = ((b"Host", b"h"), (b"Content-Length", length))
         head = model.RequestHead("POST", path, fields)
-        forwarder = forward.Forwarder(self.site)
-        self.sink = forwarder.begin(head, "", self.caller)
+        self.forwarder = forward.Forwarder(self.site)
+        self.sink = self.forwarder.begin(head, token, self.caller)
         if body:
             self.sink.body(body * (1 if end else held.FINGERPRINT_BYTES))
         if end:
@@ -251,6 +259,26 @@
         self.assertEqual(entry.caller.events, [("deadline_exceeded", expected)])
 
 
+class WithdrawnTest(unittest.TestCase):
+    """Guards against running requests that a change of the keys cuts."""
+
+    @parameterized.expand(
+        [
+            ("waits", False, [("key_unknown", "no")]),
+            ("runs", True, []),
+        ]
+    )
+    def test_withdrawn_key(self, _name, granted, expected):
+        entry = Entry(path="/keyed", token="cf_k1_secret")
+        if granted:
+            entry.last[2].granted()
+        known = entry.site.configuration()
+        withdrawn = attrs.evolve(known, keys={})
+        entry.site.configuration = lambda: withdrawn
+        entry.forwarder.check_keys()
+        self.assertEqual(entry.caller.events, expected)
+
+
 class NearTest(unittest.TestCase):
     """Guards against large bodies that are carried far without need."""
 
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -33,8 +33,8 @@
             ("t1", "reads", ("10.0.0.9", 8080), 5),
         )
         self.assertEqual(
-            (beat.number, beat.incarnation, beat.cold_seconds),
-            (4, 1700000000000, 0.5),
+            (beat.number, beat.incarnation),
+            (4, 1700000000000),
         )
         self.assertIs(beat.state, model.TargetState.SERVING)
 
--- a/tests/sidecar/test_settings.py
+++ b/tests/sidecar/test_settings.py
@@ -36,7 +36,7 @@
     def test_good(self):
         found = settings.read("f", GOOD.encode())
         self.assertEqual(found.target, ("10.0.0.1", 84))
-        self.assertEqual((found.service, found.floor), ("reads", 0.7))
+        self.assertEqual((found.service, found.stop_seconds), ("reads", 6.0))
 
     @parameterized.expand(
         [
