Log and count further arrivals at targets, and calls beside them

Cause looked for: repeats of a service beyond 20% of its requests and 60 in 10 s. The logs could not tell the hypotheses apart: nothing was written of a retry or second copy, and nothing of the calls that a repeated request makes again. Tests: tests.edge.test_repeats, tests.peer.test_codec, tests.agent.test_agent.ArrivalsTest, tests.routing.test_gate.RepeatedTest.

--- a/src/cicadafront/agent/queue.py
+++ b/src/cicadafront/agent/queue.py
@@ -28,6 +28,7 @@
         repeatable: Whether the request may run more than once.
         objective: Seconds within which the caller wants the answer; 0 if
             unknown.
+        repeated: Whether another target has had the request.
     """
 
     target: str
@@ -40,6 +41,7 @@
     priority: int = 0
     repeatable: bool = False
     objective: float = 0.0
+    repeated: bool = False
 
 
 class Queue(Protocol):
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -124,6 +124,7 @@
             request.priority,
             request.repeatable,
             request.objective,
+            request.arrivals > 0,
         )
         self._timer = self._agent.clock.callLater(request.timeout, self._expire)
         self._agent.slots.submit(self._entry, self._slot, self.refuse)
@@ -251,7 +252,7 @@
         if not headers.value_of(kept, b"host"):
             kept.insert(0, (b"Host", self._request.service.encode()))
         kept.append((words.deadline, b"%d" % millis))
-        trace = self._trace.handed_over()
+        trace = self._trace.handed_over(self._check.exchange_id)
         if words.traced:
             kept.append((b"Traceparent", trace.encode()))
         if not words.caller_exchange_id:
--- a/src/cicadafront/agent/run_trace.py
+++ b/src/cicadafront/agent/run_trace.py
@@ -1,7 +1,9 @@
 """Spans and metrics of one request at the agent."""
 
 from cicadafront.peer import exchange
-from cicadafront.telemetry import metrics, tracing
+from cicadafront.telemetry import logs, metrics, tracing
+
+_log = logs.Log("agent")
 
 OK = "ok"
 CANCELLED = "cancelled"
@@ -20,6 +22,7 @@
         self._metrics = values
         self._service = request.service
         self._target = request.target
+        self._arrivals = request.arrivals
         self._above = tracing.parse_traceparent(request.traceparent) or ""
         self._open = [self._start("queue", self._above)]
         self._began = tracer.clock()
@@ -41,8 +44,18 @@
             "agent_queue_wait", queue.seconds or 0.0, service=self._service
         )
 
-    def handed_over(self) -> str:
+    def handed_over(self, exchange_id: bytes) -> str:
         """Returns the `traceparent` of the exchange with the target."""
+        kind = "repeat" if self._arrivals else "first"
+        self._metrics.count("agent_arrivals", service=self._service, kind=kind)
+        if self._arrivals:
+            _log.info(
+                "a repeated request reaches a target.",
+                request=exchange_id.decode("latin-1"),
+                service=self._service,
+                target=self._target,
+                arrivals=self._arrivals,
+            )
         span = self._start("target", self._open[0].context)
         self._open.append(span)
         return span.context.traceparent()
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -87,6 +87,7 @@
     words: dialect.Dialect = dialect.DEFAULT
     asking: policies.Asking = policies.Asking()
     service_here: Callable[[], str] = lambda: ""
+    repeated_share: Callable[[], float] = lambda: 0.0
 
 
 FleetBuilder = Callable[[ports.PeerCalls], Fleet]
@@ -202,6 +203,7 @@
             instance=self._settings.instance,
             data_centre=self._settings.data_centre,
             service_here=fleet.service_here,
+            repeated_share=fleet.repeated_share,
             rng=self._rng,
         )
         self._forwarder = forward.Forwarder(site)
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -1,6 +1,5 @@
 """Choice of targets, retries and hedges for one request."""
 
-from collections.abc import Callable
 from typing import Any, Protocol
 
 from cicadafront import errors, model
@@ -11,6 +10,7 @@
     order,
     parts,
     policies,
+    repeats,
 )
 from cicadafront.peer import exchange
 from cicadafront.telemetry import tracing
@@ -86,13 +86,11 @@
         self._timer: Any = None
         self._began = 0.0
         self._count = 0
-        # Attempts that reached a target, or may have.
-        self._offered = 0
+        self._repeats = repeats.Repeats(site, wanted)
         self._candidates = candidates.Candidates(site, wanted, fingerprint)
         self._headed = False
         # Whether the budget has paid for a second copy.
         self._hedge_paid = False
-        self._cancelled = False
 
     @property
     def running(self) -> bool:
@@ -111,15 +109,15 @@
 
     def start(self) -> None:
         """Makes the first attempt."""
-        self._began = now = self._site.clock.seconds()
-        self._site.budget.request(self._service, now)
+        self._began = self._site.clock.seconds()
+        self._repeats.start()
         self._plan_hedge()
         self._try(policies.unavailable(self._service))
 
     def cancel(self) -> None:
         """Gives up; a target that has the request may have run it."""
         self._disarm()
-        self._cancelled = True
+        self._repeats.cancelled = True
         for copy in self._copies():
             if not copy.done:
                 self.maybe_ran = self.maybe_ran or not copy.confirms
@@ -238,13 +236,17 @@
         elif self._hedge_paid:
             self._hedge_at(target)
         else:
-            self._pay(lambda: self._hedge_at(target), self._hedge_refused)
+            self._repeats.pay(
+                repeats.Kind.SECOND_COPY,
+                lambda: self._hedge_at(target),
+                self._hedge_refused,
+            )
 
     def _may_hedge(self) -> bool:
         if self._headed or self._hedge is not None or not self.running:
             return False
         limit = self._order.route.attempts
-        return not self._site.asking.free or self._offered + 1 < limit
+        return not self._site.asking.free or self._repeats.offered + 1 < limit
 
     def _hedge_later(self) -> None:
         if self._site.asking.free:
@@ -305,11 +307,18 @@
             insist=insist,
             priority=wanted.priority,
             objective=wanted.route.objective,
+            arrivals=self._arrivals(),
             confirm=self._site.asking.confirm
             and not via
             and target.instance != self._site.instance,
         )
 
+    def _arrivals(self) -> int:
+        """Returns how many targets have had the request, or have it now."""
+        copies = [copy for copy in self._copies() if copy.request is not None]
+        having = sum(not (copy.done or copy.confirms) for copy in copies)
+        return self._repeats.offered + having
+
     # From the current attempt.
 
     def attempt_head(
@@ -355,7 +364,7 @@
         self.maybe_ran = self.maybe_ran or reached
         self._parent.attempt_said(attempt.target.id, error.code)
         reached = reached or error.code == errors.TargetShedError.code
-        self._offered += reached
+        self._repeats.offered += reached
         if reached or error.code in _SHUT_CODES:
             self._candidates.shut(attempt.target)
         if error.code == errors.TargetDoubtedError.code:
@@ -378,12 +387,13 @@
 
     def _retry(self, error: errors.RequestError) -> None:
         """Goes to another target, if that is allowed, or gives up."""
-        if not self._may_retry(error, self._offered):
+        if not self._may_retry(error, self._repeats.offered):
             self._parent.answer_failed(error)
         elif self._is_free(error):
             self._again(error)
         else:
-            self._pay(
+            self._repeats.pay(
+                repeats.Kind.RETRY,
                 lambda: self._again(error),
                 lambda: self._parent.answer_failed(error),
             )
@@ -392,22 +402,6 @@
         self._site.counts["retries"] += 1
         self._try(error)
 
-    def _pay(
-        self, granted: Callable[[], None], refused: Callable[[], None]
-    ) -> None:
-        """Goes on with one retry out of the budget, now or in a moment."""
-        now = self._site.clock.seconds()
-        found = self._site.budget.try_retry(self._service, now)
-        if isinstance(found, bool):
-            (granted if found else refused)()
-            return
-
-        def decided(paid: bool) -> None:
-            if not self._cancelled:
-                (granted if paid else refused)()
-
-        found.addCallback(decided)
-
     def _retries_error(
         self, attempt: attempt.Attempt, load: exchange.Load
     ) -> bool:
@@ -420,7 +414,7 @@
         )
         others = [copy for copy in self._copies() if copy is not attempt]
         alone = all(copy.done for copy in others)
-        if alone and not self._may_retry(error, self._offered + 1):
+        if alone and not self._may_retry(error, self._repeats.offered + 1):
             return False
         attempt.cancel()
         self.attempt_failed(attempt, error, load)
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -40,6 +40,8 @@
         instance: Id of this instance.
         data_centre: Data centre of this instance.
         service_here: Returns the service beside which this entry runs.
+        repeated_share: Returns the part of the requests at the target beside
+            this entry that another target has had.
         rng: Source of choices.
     """
 
@@ -70,4 +72,5 @@
     instance: str = ""
     data_centre: str = ""
     service_here: Callable[[], str] = lambda: ""
+    repeated_share: Callable[[], float] = lambda: 0.0
     rng: random.Random = attrs.field(factory=random.Random)
--- a/src/cicadafront/peer/codec.py
+++ b/src/cicadafront/peer/codec.py
@@ -172,6 +172,7 @@
     body.repeatable = request.repeatable
     body.traceparent = request.traceparent
     body.attempt = request.attempt
+    body.arrivals = request.arrivals
     body.weight = request.weight
     body.fingerprint = request.fingerprint
     body.relayTo = request.relay_to
@@ -281,6 +282,7 @@
         repeatable=message.repeatable,
         traceparent=message.traceparent,
         attempt=message.attempt,
+        arrivals=message.arrivals,
         weight=message.weight,
         fingerprint=bytes(message.fingerprint),
         relay_to=message.relayTo,
--- a/src/cicadafront/peer/exchange.py
+++ b/src/cicadafront/peer/exchange.py
@@ -43,6 +43,8 @@
         repeatable: Whether the request may run more than once.
         traceparent: W3C trace context of the entry's span.
         attempt: Number of this attempt, from 1.
+        arrivals: Targets that have had the request before, or that have
+            another copy of it.
         weight: Queue weight of the account.
         fingerprint: Digest that recognises the same request sent again.
         relay_to: Instance to which a third instance relays the request;
@@ -64,6 +66,7 @@
     repeatable: bool = False
     traceparent: str = ""
     attempt: int = 1
+    arrivals: int = 0
     weight: float = 1.0
     fingerprint: bytes = b""
     relay_to: str = ""
--- a/src/cicadafront/peer/peer.capnp
+++ b/src/cicadafront/peer/peer.capnp
@@ -28,6 +28,8 @@
   objectiveMs @15 :UInt32;
   # The agent asks before it hands the request to the target.
   confirm @16 :Bool;
+  # Targets that have had the request before, or have another copy of it.
+  arrivals @17 :UInt16;
 }
 
 struct Head {
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -126,6 +126,13 @@
             return exchange.Load()
         return exchange.Load(len(place.holding), len(place.waiting))
 
+    def repeated_share(self) -> float:
+        """Returns the part of the running requests that are repeated."""
+        running = [e for place in self._places.values() for e in place.holding]
+        if not running:
+            return 0.0
+        return sum(entry.repeated for entry in running) / len(running)
+
     def tick(self) -> None:
         """Refuses what cannot be answered in time."""
         now = self._clock.seconds()
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -380,6 +380,7 @@
         values = self.metrics
         values.total_by("store_calls", "call", lambda: self.store.counts)
         values.total_by("admissions", "kind", lambda: self.admission.counts)
+        values.total_by("retry_budget", "decision", lambda: self.budget.counts)
         values.total_by("heartbeats", "ignored", lambda: self.registry.counts)
         values.gauge("configuration_revision", lambda: self.held.revision)
         values.gauge("peers", lambda: len(self.gossip.peers()))
@@ -439,4 +440,5 @@
             words=words.DIALECT,
             asking=ASKING,
             service_here=self.service_here,
+            repeated_share=self.gate.repeated_share,
         )
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -418,6 +418,27 @@
         self.assertEqual(self.site.connector.made, [])
 
 
+class ArrivalsTest(unittest.TestCase):
+    """Guards against repeats that the agent takes for first arrivals."""
+
+    @parameterized.expand([(0, "first"), (1, "repeat"), (2, "repeat")])
+    def test_kind_of_arrival_is_counted(self, arrivals, kind):
+        site = Site()
+        request = exchange.OpenRequest(
+            model.RequestHead("GET", "/x", ((b"Host", b"h"),)),
+            "",
+            "s",
+            "t",
+            5.0,
+            arrivals=arrivals,
+        )
+        site.agent.open(request, memory.Response()).end()
+        self.assertIn(
+            f'agent_arrivals_total{{kind="{kind}",service="s"}} 1',
+            site.agent.metrics.text().decode(),
+        )
+
+
 class Granting(memory.Response):
     """Counts the grants."""
 
--- /dev/null
+++ b/tests/edge/test_repeats.py
@@ -0,0 +1,99 @@
+"""Tests of what pays for further arrivals of a request, and of its log."""
+
+import unittest
+from unittest import mock
+
+import attrs
+from parameterized import parameterized
+from twisted.internet import defer, task
+
+from cicadafront import model
+from cicadafront.edge import order, repeats
+from tests.support import memory
+
+
+class Budget:
+    """Answers later whether a retry is granted."""
+
+    def __init__(self):
+        self.asked = defer.Deferred()
+        self.requests = []
+
+    def request(self, service, now):
+        self.requests.append(service)
+
+    def try_retry(self, service, now):
+        return self.asked
+
+
+class RepeatsTest(unittest.TestCase):
+    """Guards against further arrivals that nobody can account for."""
+
+    def setUp(self):
+        self.lines = []
+        log = mock.patch.object(
+            repeats._log.__class__,
+            "info",
+            lambda _, text, **fields: self.lines.append((text, fields)),
+        )
+        log.start()
+        self.addCleanup(log.stop)
+        self.budget = Budget()
+        self.site = memory.site(
+            task.Clock(), memory.Opener(), budget=self.budget
+        )
+
+    def made(self, path="/open"):
+        head = model.RequestHead(
+            "GET", path, ((self.site.words.exchange_id, b"r1"),)
+        )
+        wanted = order.resolve(self.site, head, "cf_k1_secret")
+        return repeats.Repeats(self.site, wanted)
+
+    @parameterized.expand(
+        [
+            (True, "a further arrival is paid.", ["granted"]),
+            (
+                False,
+                "the retry budget refuses a further arrival.",
+                ["refused"],
+            ),
+        ]
+    )
+    def test_decision_is_logged_with_the_request(self, paid, text, expected):
+        found = []
+        self.made().pay(
+            repeats.Kind.RETRY,
+            lambda: found.append("granted"),
+            lambda: found.append("refused"),
+        )
+        self.budget.asked.callback(paid)
+        self.assertEqual(found, expected)
+        (line, fields), *rest = self.lines
+        self.assertEqual((line, rest), (text, []))
+        self.assertEqual(
+            (fields["request"], fields["service"], fields["kind"]),
+            ("r1", "s", "retry"),
+        )
+
+    def test_nothing_goes_on_after_the_caller_left(self):
+        made = self.made()
+        found = []
+        made.pay(repeats.Kind.RETRY, lambda: found.append(1), found.clear)
+        made.cancelled = True
+        self.budget.asked.callback(True)
+        self.assertEqual((found, self.lines), ([], []))
+
+    @parameterized.expand(
+        [("/open", 0.5, 1), ("/open", 0.0, 0), ("/keyed", 0.5, 0)]
+    )
+    def test_calls_beside_a_repeated_request(self, path, share, calls):
+        self.site = attrs.evolve(self.site, repeated_share=lambda: share)
+        self.made(path).start()
+        self.assertEqual(self.budget.requests, ["s"])
+        self.assertEqual(self.site.counts["calls_of_repeats"], calls)
+        self.assertEqual(len(self.lines), calls)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/peer/test_codec.py
@@ -0,0 +1,37 @@
+"""Tests of the frames between two instances."""
+
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from cicadafront import model
+from cicadafront.peer import codec, exchange
+
+HEAD = model.RequestHead("GET", "/x", ((b"Host", b"h"),))
+PLAIN = exchange.OpenRequest(HEAD, "amani", "s", "t", 5.0)
+
+
+class OpenTest(unittest.TestCase):
+    """Guards against fields of a request that are lost on the way."""
+
+    @parameterized.expand(
+        [
+            ("repeatable", True),
+            ("attempt", 3),
+            ("arrivals", 2),
+            ("insist", exchange.ASKS_ANYWAY),
+            ("priority", 7),
+            ("objective", 1.5),
+            ("confirm", True),
+            ("relay_to", "n2"),
+            ("fingerprint", b"\x00\x01"),
+        ]
+    )
+    def test_field_survives(self, field, value):
+        frame = codec.Open(5, attrs.evolve(PLAIN, **{field: value}))
+        self.assertEqual(codec.decode(codec.encode(frame)), frame)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -272,3 +272,16 @@
         for _ in range(3):
             self.world.work()
         self.assertEqual(attrs.astuple(self.world.gate.load("t1")), (2, 1))
+
+
+class RepeatedTest(unittest.TestCase):
+    """Guards against calls of repeated requests that nobody notices."""
+
+    @parameterized.expand(
+        [([], 0.0), ([False], 0.0), ([True], 1.0), ([True, False], 0.5)]
+    )
+    def test_share_of_the_running_requests(self, repeated, share):
+        world = World()
+        for each in repeated:
+            Work(world, repeated=each)
+        self.assertEqual(world.gate.repeated_share(), share)
