--- a/tests/edge/test_repeats.py
+++ b/tests/edge/test_repeats.py
@@ -7,8 +7,10 @@
 from parameterized import parameterized
 from twisted.internet import defer, task
 
-from cicadafront import model
-from cicadafront.edge import order, repeats
+from cicadafront import errors, model, ports
+from cicadafront.edge import forward, order, repeats
+from cicadafront.limits import retries, shares
+from cicadafront.peer import exchange
 from tests.support import memory
 
 
@@ -95,5 +97,68 @@
         self.assertEqual(len(self.lines), calls)
 
 
+class Lone:
+    """A fleet of one instance."""
+
+    def instances(self):
+        return [ports.InstanceInfo("n1", 1, "dc", ("", 0))]
+
+    def on_change(self, handler):
+        pass
+
+
+class Calls:
+    """Nobody to call."""
+
+    def register(self, method, handler):
+        pass
+
+
+class CallsTest(unittest.TestCase):
+    """Guards against repeats that pile up at the services that targets call."""
+
+    ALLOWANCE = retries.Allowance(share=0.2, extra=60.0, window=10.0)
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.opener = memory.Opener()
+        self.share = 0.0
+        admission = shares.SharedAdmission(
+            "n1",
+            self.clock,
+            Calls(),
+            Lone(),
+            lambda id: retries.budget_of(id, self.ALLOWANCE),
+        )
+        self.site = memory.site(
+            self.clock,
+            self.opener,
+            budget=retries.FleetRetries(admission, self.ALLOWANCE),
+            repeated_share=lambda: self.share,
+        )
+        self.forwarder = forward.Forwarder(self.site)
+
+    def play(self, requests, seconds):
+        """Sends requests whose first attempt fails; returns the repeats."""
+        before = len(self.opener.opened)
+        head = model.RequestHead("GET", "/open", ((b"Host", b"h"),))
+        for _ in range(requests):
+            sink = self.forwarder.begin(head, "", memory.Response())
+            sink.end()
+            error = errors.TargetFailedError(
+                "x", executed=errors.Executed.UNKNOWN
+            )
+            self.opener.opened[-1][2].fail(error, exchange.Load())
+            self.clock.advance(seconds / requests)
+        return len(self.opener.opened) - before - requests
+
+    def test_calls_of_repeated_requests_use_the_budget_of_their_service(self):
+        self.share = 1.0
+        repeated = 60 + self.play(60, 3.0)
+        self.share = 0.0
+        repeated += self.play(140, 7.0)
+        self.assertLessEqual(repeated, 0.2 * 200 + 60)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/limits/test_retries.py
+++ b/tests/limits/test_retries.py
@@ -14,8 +14,8 @@
 class RetryNet(test_shares.Net):
     """Entries that share the budget of a service."""
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, names=test_shares.NAMES):
+        super().__init__(names=names)
         for member in self.members.values():
             member._accounts = lambda id: retries.budget_of(id, ALLOWANCE)
         self.budgets = [
@@ -59,6 +59,17 @@
             window = [t for t in granted if start <= t < start + 10]
             self.assertLessEqual(len(window), allowed)
 
+    @parameterized.expand([(5,), (20,), (60,), (200,)])
+    def test_retries_saved_in_calm_times_stay_in_the_budget(self, per_second):
+        net = RetryNet([f"n{number}" for number in range(30)])
+        rng = random.Random(1)
+        net.play(rng, per_second, 30, share=0.0)
+        granted, _ = net.play(rng, per_second, 20, share=1.0)
+        allowed = 0.2 * per_second * 10 + 60
+        for start in granted:
+            window = [t for t in granted if start <= t < start + 10]
+            self.assertLessEqual(len(window), allowed)
+
     @parameterized.expand([(5, 0.5), (20, 0.3), (60, 0.2)])
     def test_usual_faults_are_covered(self, per_second, share):
         granted, refused = RetryNet().play(
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -17,8 +17,15 @@
 class Net:
     """Instances on virtual time whose calls can be cut."""
 
-    def __init__(self, rate=50.0, burst=20.0, limit_of=shares.stated_limit):
+    def __init__(
+        self,
+        rate=50.0,
+        burst=20.0,
+        limit_of=shares.stated_limit,
+        names=NAMES,
+    ):
         self.clock = task.Clock()
+        self.names = names
         self.account = config_model.ClientAccount("a", rate, burst)
         self.cut = set()
         # Pairs of instances between which nothing passes.
@@ -27,9 +34,9 @@
         self.calls = 0
         self.limit_of = limit_of
         self.members = {}
-        for name in NAMES:
+        for name in names:
             self.add(name)
-        self.keeper, self.deputy = shares.keepers("a", NAMES)
+        self.keeper, self.deputy = shares.keepers("a", names)
 
     def add(self, name):
         """Starts an instance, again if it is there."""
@@ -72,7 +79,7 @@
         self.net, self.here = net, here
 
     def instances(self):
-        return [ports.InstanceInfo(n, 1, "dc", ("", 0)) for n in NAMES]
+        return [ports.InstanceInfo(n, 1, "dc", ("", 0)) for n in self.net.names]
 
     def on_change(self, handler):
         pass
