Count repeats where the budget is kept: report requests, save nothing, charge calls

Cause: the bound was kept at one place and filled at others. (1) Each entry earned 0.16 of a retry with each request and saved up to 5, thirty entries up to 150 a service; they came in addition to the budget of the window in which they were spent. (2) A target that runs a request again makes its calls again; these arrivals were counted nowhere. Change: entries tell the keeper with each call how many requests of the service they saw in the window; the keeper's rate follows the sum, nothing is saved at entries. A request without a key that comes while a repeated one runs beside the entry is charged to its service by the part of repeated requests there. Payments that targets refuse find the budget used up more often: that is the bound.

--- a/src/cicadafront/edge/policies.py
+++ b/src/cicadafront/edge/policies.py
@@ -76,8 +76,14 @@
 class RetryBudget(Protocol):
     """Bounds the share of requests that are attempts after the first."""
 
-    def request(self, service: str, now: float) -> None:
-        """Notes a first attempt."""
+    def request(self, service: str, now: float, repeated: float = 0.0) -> None:
+        """Notes a first attempt.
+
+        Args:
+            service: Service of the request.
+            now: Time in seconds.
+            repeated: Probability that a repeated request makes this one.
+        """
 
     def try_retry(
         self, service: str, now: float
@@ -196,8 +202,8 @@
     def __init__(self) -> None:
         self._allowances: dict[str, _Allowance] = {}
 
-    def request(self, service: str, now: float) -> None:
-        """Notes a first attempt."""
+    def request(self, service: str, now: float, repeated: float = 0.0) -> None:
+        """Notes a first attempt, whoever makes it."""
         allowance = self._refill(service, now)
         allowance.tokens = min(self.MOST, allowance.tokens + self.SHARE)
 
--- a/src/cicadafront/edge/repeats.py
+++ b/src/cicadafront/edge/repeats.py
@@ -36,18 +36,10 @@
         self._order = wanted
 
     def start(self) -> None:
-        """Notes the request, which earns a part of a retry."""
+        """Notes the request, which allows a part of a retry."""
         now = self._site.clock.seconds()
-        self._site.budget.request(self._order.service, now)
-        if self._order.account is None:
-            self._note_call()
-
-    def _note_call(self) -> None:
-        """Notes a request that a repeated request here may have made.
-
-        Targets call without a key, from the address of the callers.
-        """
-        share = self._site.repeated_share()
+        share = self._repeated_share()
+        self._site.budget.request(self._order.service, now, share)
         if share:
             self._site.counts["calls_of_repeats"] += 1
             _log.info(
@@ -57,6 +49,16 @@
                 repeated_share=round(share, 2),
             )
 
+    def _repeated_share(self) -> float:
+        """Returns how likely a repeated request makes this one.
+
+        Targets call without a key and from the address of the callers, so
+        any request without a key may come from one that runs here.
+        """
+        if self._order.account is not None:
+            return 0.0
+        return self._site.repeated_share()
+
     def pay(
         self,
         kind: Kind,
--- a/src/cicadafront/limits/retries.py
+++ b/src/cicadafront/limits/retries.py
@@ -1,9 +1,13 @@
 """One retry budget for each service over the whole fleet.
 
-Answers the load of a gray spell: retries and hedges are needed by few entries
-at a time, and an equal part for each entry would leave most of the budget
-unused. Entries earn retries by their requests and spend them, like client
-accounts, at the keeper of the service's budget.
+Answers the load of a gray spell: retries and second copies are needed by few
+entries at a time, and an equal part for each entry would leave most of the
+budget unused. Entries tell the keeper of a service's budget how many requests
+they have seen in its window, and ask it for each retry. Nothing is saved at
+entries, so a calm time adds nothing to the retries of a later window.
+
+A target that runs a request again makes its calls again. These are charged to
+the services that are called, which have less left for retries of their own.
 """
 
 import collections
@@ -14,27 +18,26 @@
 
 from cicadafront import errors
 from cicadafront.config import model as config_model
-from cicadafront.limits import shares
+from cicadafront.limits import keeping, recent, shares
 
-# Part of the allowed retries that is used; the rest covers two keepers that
-# exist for a moment, and the calls of requests that run again.
+# Part of the allowed repeats that keepers grant; the rest covers two keepers
+# that exist for a moment, and calls that were told late.
 USED_SHARE = 0.8
 # Part of a window's extra retries that may come at once.
 BURST_SHARE = 0.2
-# Retries that an entry earns before it asks; the burst of the budget bounds
-# what all entries together have earned.
-MOST_EARNED = 5.0
+# Part of the burst with which a new keeper starts.
+FIRST_SHARE = 0.5
 # No client account has this prefix.
 _PREFIX = "\0retries\0"
 
 
 @attrs.frozen
 class Allowance:
-    """Retries of one service over the whole fleet.
+    """Repeats of one service over the whole fleet.
 
     Attributes:
-        share: Retries for each request.
-        extra: Further retries in each window.
+        share: Repeats for each request.
+        extra: Further repeats in each window.
         window: Length of the window in seconds.
     """
 
@@ -42,6 +45,22 @@
     extra: float
     window: float
 
+    def limit(self, seen: float) -> keeping.Limit:
+        """Returns what a keeper grants.
+
+        Args:
+            seen: Requests of the service in the window.
+        """
+        burst = max(1.0, BURST_SHARE * self.extra)
+        most = USED_SHARE * (self.share * seen + self.extra)
+        return keeping.Limit(
+            max(0.01, (most - burst) / self.window),
+            burst,
+            FIRST_SHARE * burst,
+            # Many instances start at once after a fault, each on its own.
+            alone=0.0,
+        )
+
 
 def is_budget(id: str) -> bool:
     """Returns whether an account id names the retry budget of a service."""
@@ -54,11 +73,8 @@
     """Returns the budget with this account id, or None if it is none."""
     if not is_budget(id):
         return None
-    burst = max(1.0, BURST_SHARE * allowance.extra)
-    usable = max(0.0, USED_SHARE * allowance.extra - burst)
-    return config_model.ClientAccount(
-        id, rate=max(0.01, usable / allowance.window), burst=burst
-    )
+    least = allowance.limit(0.0)
+    return config_model.ClientAccount(id, rate=least.rate, burst=least.burst)
 
 
 class FleetRetries:
@@ -72,22 +88,40 @@
         self.counts: collections.Counter[str] = collections.Counter()
         self._admission = admission
         self._allowance = allowance
-        self._earned: dict[str, float] = {}
-
-    def request(self, service: str, now: float) -> None:
-        """Notes a first attempt, which earns a part of a retry."""
-        earned = self._earned.get(service, 0.0)
-        share = USED_SHARE * self._allowance.share
-        self._earned[service] = min(MOST_EARNED, earned + share)
+        self._seen: dict[str, recent.Recent] = {}
+
+    def request(self, service: str, now: float, repeated: float = 0.0) -> None:
+        """Notes a first attempt, which allows a part of a retry.
+
+        Args:
+            service: Service of the request.
+            now: Time in seconds.
+            repeated: Probability that a repeated request makes this one.
+        """
+        seen = self._seen.get(service)
+        if seen is None:
+            seen = recent.Recent(self._allowance.window, now)
+            self._seen[service] = seen
+        seen.add(now)
+        if repeated:
+            self.counts["charged"] += 1
+            self._admission.charge(
+                self._budget(service), repeated, seen.projected(now)
+            )
 
     def try_retry(self, service: str, now: float) -> "defer.Deferred[bool]":
         """Takes one retry out of the budget, if there is one."""
+        seen = self._seen.get(service)
+        spent = self._admission.spend(
+            self._budget(service), seen.projected(now) if seen else 0.0
+        )
+        return spent.addCallbacks(self._granted, self._refused)
+
+    def _budget(self, service: str) -> config_model.ClientAccount:
         account = budget_of(_PREFIX + service, self._allowance)
         if account is None:
             raise ValueError("the budget of a service has its own prefix")
-        earned = self._earned.pop(service, 0.0)
-        spent = self._admission.spend(account, earned)
-        return spent.addCallbacks(self._granted, self._refused)
+        return account
 
     def _granted(self, _: object) -> bool:
         self.counts["granted"] += 1
--- a/src/cicadafront/limits/tokens.py
+++ b/src/cicadafront/limits/tokens.py
@@ -31,9 +31,15 @@
         self.tokens = min(self.burst, self.tokens + passed * self.rate)
         self.updated = max(self.updated, now)
 
-    def add(self, amount: float) -> None:
-        """Adds tokens that were earned otherwise than with time."""
-        self.tokens = min(self.burst, self.tokens + max(0.0, amount))
+    def charge(self, amount: float, most: float) -> None:
+        """Takes tokens that were used already.
+
+        Args:
+            amount: Number of tokens.
+            most: Largest debt that this may leave.
+        """
+        if amount > 0:
+            self.tokens = max(min(self.tokens, -most), self.tokens - amount)
 
     def take(self, now: float, wanted: int) -> int:
         """Takes up to `wanted` whole tokens; returns how many."""
--- a/src/cicadafront/routing/retry_budgets.py
+++ b/src/cicadafront/routing/retry_budgets.py
@@ -9,8 +9,8 @@
     def __init__(self) -> None:
         self._budgets: dict[str, retry.RetryBudget] = {}
 
-    def request(self, service: str, now: float) -> None:
-        """Notes a first attempt."""
+    def request(self, service: str, now: float, repeated: float = 0.0) -> None:
+        """Notes a first attempt, whoever makes it."""
         self._budget(service, now).requested(now)
 
     def try_retry(self, service: str, now: float) -> bool:
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -12,7 +12,7 @@
 from cicadafront.daemon import options, root, supervisor
 from cicadafront.edge import policies, server
 from cicadafront.health import crashes, paths
-from cicadafront.limits import retries, shares
+from cicadafront.limits import keeping, retries, shares
 from cicadafront.membership import (
     beats,
     gossip,
@@ -120,7 +120,7 @@
             chosen.retry_extra,
             chosen.retry_window_seconds,
         )
-        self.tolerance = shares.Tolerance(
+        self.tolerance = keeping.Tolerance(
             chosen.rate_window_seconds,
             chosen.rate_tolerated_share,
             chosen.rate_tolerated_extra,
@@ -300,9 +300,11 @@
         now = self.reactor.seconds()
         return not self._knows_fleet or self.gossip.isolated(now)
 
-    def _limit(self, account: config_model.ClientAccount) -> shares.Limit:
+    def _limit(
+        self, account: config_model.ClientAccount, seen: float
+    ) -> keeping.Limit:
         if retries.is_budget(account.id):
-            return shares.stated_limit(account)
+            return self.allowance.limit(seen)
         return self.tolerance.limit(account)
 
     def configuration(self) -> config_model.Configuration | None:
--- a/tests/edge/test_asking.py
+++ b/tests/edge/test_asking.py
@@ -48,7 +48,7 @@
     def __init__(self, left):
         self.left = left
 
-    def request(self, service, now):
+    def request(self, service, now, repeated=0.0):
         pass
 
     def try_retry(self, service, now):
--- a/tests/edge/test_repeats.py
+++ b/tests/edge/test_repeats.py
@@ -21,8 +21,8 @@
         self.asked = defer.Deferred()
         self.requests = []
 
-    def request(self, service, now):
-        self.requests.append(service)
+    def request(self, service, now, repeated=0.0):
+        self.requests.append((service, repeated))
 
     def try_retry(self, service, now):
         return self.asked
@@ -92,7 +92,7 @@
     def test_calls_beside_a_repeated_request(self, path, share, calls):
         self.site = attrs.evolve(self.site, repeated_share=lambda: share)
         self.made(path).start()
-        self.assertEqual(self.budget.requests, ["s"])
+        self.assertEqual(self.budget.requests, [("s", share * calls)])
         self.assertEqual(self.site.counts["calls_of_repeats"], calls)
         self.assertEqual(len(self.lines), calls)
 
@@ -129,6 +129,7 @@
             Calls(),
             Lone(),
             lambda id: retries.budget_of(id, self.ALLOWANCE),
+            limit_of=lambda _, seen: self.ALLOWANCE.limit(seen),
         )
         self.site = memory.site(
             self.clock,
--- a/tests/limits/test_retries.py
+++ b/tests/limits/test_retries.py
@@ -1,13 +1,15 @@
 """Tests of the retry budget of the whole fleet."""
 
+import bisect
 import random
 import unittest
 
 from parameterized import parameterized
 
-from cicadafront.limits import retries
+from cicadafront.limits import keeping, retries
 from tests.limits import test_shares
 
+FLEET = [f"n{number}" for number in range(30)]
 ALLOWANCE = retries.Allowance(share=0.2, extra=60.0, window=10.0)
 
 
@@ -15,35 +17,63 @@
     """Entries that share the budget of a service."""
 
     def __init__(self, names=test_shares.NAMES):
-        super().__init__(names=names)
-        for member in self.members.values():
-            member._accounts = lambda id: retries.budget_of(id, ALLOWANCE)
-        self.budgets = [
-            retries.FleetRetries(member, ALLOWANCE)
-            for member in self.members.values()
-        ]
-
-    def play(self, rng, per_second, seconds, share):
+        self.budgets = {}
+        super().__init__(
+            limit_of=lambda _, seen: ALLOWANCE.limit(seen), names=names
+        )
+
+    def add(self, name):
+        """Starts an entry, again if it is there."""
+        super().add(name)
+        member = self.members[name]
+        member._accounts = lambda id: retries.budget_of(id, ALLOWANCE)
+        self.budgets[name] = retries.FleetRetries(member, ALLOWANCE)
+
+    def play(self, rng, per_second, seconds, share, repeated=0.0):
         """Offers requests of which a share wants a retry.
 
+        Args:
+            rng: Source of choices.
+            per_second: Requests per second.
+            seconds: Length of the load.
+            share: Part of the requests that want a retry.
+            repeated: Part of the requests that repeated ones make.
+
         Returns:
-            Times of the granted retries, and the number of refused ones.
+            Times of the repeats, and the number of refused ones.
         """
-        granted, refused = [], []
+        found, refused = [], []
         for _ in range(round(per_second * seconds)):
-            budget = rng.choice(self.budgets)
+            budget = self.budgets[rng.choice(self.names)]
             now = self.clock.seconds()
-            budget.request("s", now)
+            called = rng.random() < repeated
+            budget.request("s", now, float(called))
+            if called:
+                found.append(now)
             if rng.random() < share:
                 asked = budget.try_retry("s", now)
                 asked.addCallback(
-                    lambda paid, now=now: (granted if paid else refused).append(
+                    lambda paid, now=now: (found if paid else refused).append(
                         now
                     )
                 )
             self.clock.advance(1 / per_second)
         self.clock.advance(1.0)
-        return granted, len(refused)
+        return found, len(refused)
+
+
+def most_in_a_window(times):
+    """Returns the most repeats in any window of 10 s."""
+    times = sorted(times)
+    return max(
+        bisect.bisect_left(times, start + 10) - place
+        for place, start in enumerate(times)
+    )
+
+
+def allowed(per_second):
+    """Returns the repeats that a window of 10 s may have."""
+    return 0.2 * per_second * 10 + 60
 
 
 class RetriesTest(unittest.TestCase):
@@ -54,21 +84,61 @@
         granted, _ = RetryNet().play(
             random.Random(1), per_second, 30, share=1.0
         )
-        allowed = 0.2 * per_second * 10 + 60
-        for start in granted:
-            window = [t for t in granted if start <= t < start + 10]
-            self.assertLessEqual(len(window), allowed)
+        self.assertLessEqual(most_in_a_window(granted), allowed(per_second))
 
     @parameterized.expand([(5,), (20,), (60,), (200,)])
     def test_retries_saved_in_calm_times_stay_in_the_budget(self, per_second):
-        net = RetryNet([f"n{number}" for number in range(30)])
+        net = RetryNet(FLEET)
         rng = random.Random(1)
         net.play(rng, per_second, 30, share=0.0)
         granted, _ = net.play(rng, per_second, 20, share=1.0)
-        allowed = 0.2 * per_second * 10 + 60
-        for start in granted:
-            window = [t for t in granted if start <= t < start + 10]
-            self.assertLessEqual(len(window), allowed)
+        self.assertLessEqual(most_in_a_window(granted), allowed(per_second))
+
+    @parameterized.expand([(seed,) for seed in range(1, 9)])
+    def test_keepers_that_are_replaced(self, seed):
+        rng = random.Random(seed)
+        net = RetryNet(FLEET)
+        first, second = keeping.keepers(retries._PREFIX + "s", FLEET)
+
+        def replace():
+            net.add(rng.choice((first, second)))
+            net.clock.callLater(rng.uniform(2.0, 6.0), replace)
+
+        net.clock.callLater(rng.uniform(0.5, 3.0), replace)
+        granted, _ = net.play(rng, 20, 40, share=1.0)
+        self.assertLessEqual(most_in_a_window(granted), allowed(20))
+
+    @parameterized.expand([(20, 12.0), (20, 17.0), (60, 12.0), (5, 9.0)])
+    def test_all_instances_start_anew(self, per_second, at):
+        net = RetryNet(FLEET)
+
+        def restart():
+            net.cut = set(FLEET)
+            for name in FLEET:
+                net.add(name)
+            # They know nothing of each other for a moment.
+            net.clock.callLater(1.0, net.cut.clear)
+
+        net.clock.callLater(at, restart)
+        granted, _ = net.play(random.Random(1), per_second, 30, share=1.0)
+        self.assertLessEqual(most_in_a_window(granted), allowed(per_second))
+
+    @parameterized.expand(
+        [(20, 0.05, 1.0), (20, 0.2, 1.0), (60, 0.1, 0.3), (60, 0.2, 1.0)]
+    )
+    def test_calls_of_repeated_requests_leave_less_for_retries(
+        self, per_second, repeated, share
+    ):
+        net = RetryNet(FLEET)
+        found, _ = net.play(random.Random(1), per_second, 30, share, repeated)
+        self.assertLessEqual(most_in_a_window(found), allowed(per_second))
+
+    def test_calls_that_are_charged_while_no_keeper_answers(self):
+        net = RetryNet(FLEET)
+        net.play(random.Random(1), 20, 10, share=0.0)
+        net.cut = set(keeping.keepers(retries._PREFIX + "s", FLEET))
+        found, _ = net.play(random.Random(1), 20, 20, share=1.0, repeated=0.2)
+        self.assertLessEqual(most_in_a_window(found), allowed(20))
 
     @parameterized.expand([(5, 0.5), (20, 0.3), (60, 0.2)])
     def test_usual_faults_are_covered(self, per_second, share):
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -8,7 +8,7 @@
 
 from cicadafront import errors, ports
 from cicadafront.config import model as config_model
-from cicadafront.limits import shares
+from cicadafront.limits import keeping, shares
 from cicadafront.peer import failures
 
 NAMES = [f"n{number}" for number in range(10)]
@@ -21,7 +21,7 @@
         self,
         rate=50.0,
         burst=20.0,
-        limit_of=shares.stated_limit,
+        limit_of=keeping.stated_limit,
         names=NAMES,
     ):
         self.clock = task.Clock()
@@ -36,7 +36,7 @@
         self.members = {}
         for name in names:
             self.add(name)
-        self.keeper, self.deputy = shares.keepers("a", names)
+        self.keeper, self.deputy = keeping.keepers("a", names)
 
     def add(self, name):
         """Starts an instance, again if it is there."""
@@ -168,10 +168,10 @@
         self.assertGreater(admitted, 0.5 * 50 * 10)
 
     def test_new_keeper_starts_with_a_part_of_the_burst(self):
-        ledger = shares.Ledger()
+        ledger = keeping.Ledger()
         account = config_model.ClientAccount("a", 1.0, 20.0)
         granted = sum(ledger.grant(0.0, account, 1)[0] for _ in range(50))
-        self.assertEqual(granted, 20 * shares.FIRST_SHARE)
+        self.assertEqual(granted, 20 * keeping.FIRST_SHARE)
 
     def test_lower_limit_holds_at_once(self):
         net = Net()
@@ -192,11 +192,11 @@
         self.assertLess(net.calls, 0.6 * 2000)
 
     def test_keepers_are_spread(self):
-        kept = {shares.keepers(f"a{n}", NAMES)[0] for n in range(200)}
+        kept = {keeping.keepers(f"a{n}", NAMES)[0] for n in range(200)}
         self.assertEqual(kept, set(NAMES))
 
     def test_refusal_tells_when_to_return(self):
-        ledger = shares.Ledger()
+        ledger = keeping.Ledger()
         account = config_model.ClientAccount("a", 2.0, 1.0)
         ledger.grant(0.0, account, 1)
         self.assertEqual(ledger.grant(0.0, account, 1), (0, 0.5))
@@ -209,7 +209,7 @@
     window, and one that sends many times what the window takes.
     """
 
-    TOLERANCE = shares.Tolerance(seconds=5.0, share=0.1, extra=20.0)
+    TOLERANCE = keeping.Tolerance(seconds=5.0, share=0.1, extra=20.0)
 
     def net(self, rate, burst):
         return Net(rate, burst, limit_of=self.TOLERANCE.limit)
@@ -249,7 +249,7 @@
         self, _name, rate, burst, cut
     ):
         net = self.net(rate, burst)
-        ranked = shares.ranked("a", NAMES)
+        ranked = keeping.ranked("a", NAMES)
         net.cut = {ranked[place] for place in cut}
         most = self.most_in_a_window(net, NAMES, 400, 12)
         self.assertLessEqual(most, (rate * 5 + burst) * 1.1 + 20)
@@ -257,7 +257,7 @@
 
     def test_some_instances_do_not_reach_the_keeper(self):
         net = self.net(49.0, 49.0)
-        ranked = shares.ranked("a", NAMES)
+        ranked = keeping.ranked("a", NAMES)
         net.parted = {frozenset((ranked[0], name)) for name in ranked[6:]}
         most = self.most_in_a_window(net, NAMES, 400, 12)
         self.assertLessEqual(most, (49 * 5 + 49) * 1.1 + 20)
@@ -281,7 +281,7 @@
     def test_second_keeper_does_not_grant_what_it_has_saved(self):
         limit = self.TOLERANCE.limit
         account = config_model.ClientAccount("a", 10.0, 10.0)
-        ledger = shares.Ledger(limit)
+        ledger = keeping.Ledger(limit)
         ledger.grant(0.0, account, 1)
         granted = [
             ledger.grant(60.0, account, 1, second=True)[0] for _ in range(9)
