Cut off answers of the store that do not end

Cause: the clients of both stores collected a body until its end or the time limit of the call (25 s for a watch), so that an answer without end could fill the memory of a 300 MB machine. The connection is closed. Evidence: tests.platform.test_store.StoreTest.test_answer_without_end_1_body had not ended after 6 s on the code before, with a time limit of 60 s; it ends at once now, as do an endless head and a stated length of 100 GB. tests.store.test_store covers the other client.

--- a/src/cicadafront/platform/http.py
+++ b/src/cicadafront/platform/http.py
@@ -11,6 +11,9 @@
 
 # Idle connections that are kept; one call and one watch run at a time.
 _KEPT = 2
+# Twice the largest answer: a page of the store holds about 1 MB, or one value
+# of at most 1 MiB in base64.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -30,6 +33,7 @@
         self._head = head
         self._body = body
         self._status = 0
+        self._size = 0
         self._pieces: list[bytes] = []
 
     def connected(self, made: connection.TargetConnection) -> None:
@@ -43,6 +47,18 @@
         self._status = head.status
 
     def answer_body(self, data: bytes) -> None:
+        if self.done.called:
+            return
+        self._size += len(data)
+        if self._size > MAX_REPLY_BYTES:
+            self._pieces.clear()
+            self.done.errback(
+                errors.StoreUnavailableError(
+                    "The store sends an answer without end; check that the "
+                    "address is the store's. A write may have taken effect."
+                )
+            )
+            return
         self._pieces.append(data)
         if self.connection is not None:
             self.connection.source.consumed(len(data))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,8 @@
 import unittest
 
 from parameterized import parameterized
-from twisted.internet import defer, protocol
+from twisted.internet import defer, interfaces, protocol, task
+from zope.interface import implementer
 
 from cicadafront import errors, ports
 from cicadafront.cli import loop
@@ -46,6 +47,36 @@
             self.transport.abortConnection()
 
 
+@implementer(interfaces.IPushProducer)
+class Pouring(protocol.Protocol):
+    """Sends an answer for as long as somebody reads it."""
+
+    open = 0
+    head = b""
+    piece = b""
+
+    def dataReceived(self, data):  # noqa: N802
+        Pouring.open += 1
+        self.transport.write(self.head)
+        self.transport.registerProducer(self, True)
+        self.resumeProducing()
+
+    def connectionLost(self, reason=None):  # noqa: N802
+        Pouring.open -= 1
+        self.pouring = False
+
+    def pauseProducing(self):  # noqa: N802
+        self.pouring = False
+
+    def resumeProducing(self):  # noqa: N802
+        self.pouring = True
+        while self.pouring:
+            self.transport.write(self.piece)
+
+    def stopProducing(self):  # noqa: N802
+        self.pouring = False
+
+
 class StoreTest(unittest.TestCase):
     """Guards against answers that are read as something else."""
 
@@ -165,6 +196,28 @@
         with self.assertRaises(errors.StoreUnavailableError):
             loop.call(lambda: client._http.call("GET", "/x", b"", 0.2))
 
+    @parameterized.expand(
+        [
+            ("head", b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 1000),
+            ("body", b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 65536),
+            (
+                "length",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                b"x" * 65536,
+            ),
+        ]
+    )
+    def test_answer_without_end(self, _name, head, piece):
+        """It fails long before its time limit, and is not kept."""
+        factory = protocol.Factory.forProtocol(Pouring)
+        factory.protocol = type("P", (Pouring,), {"head": head, "piece": piece})
+        client = self.serve(factory)
+        with self.assertRaises(errors.StoreUnavailableError) as caught:
+            loop.call(lambda: client._http.call("GET", "/x", b"", 60.0))
+        self.assertNotIn("within 60", caught.exception.message)
+        loop.call(lambda: task.deferLater(loop.reactor(), 0.1))
+        self.assertEqual(Pouring.open, 0)
+
     def test_connection_is_used_again(self):
         _, client = self.script(*[(200, {**ITEM, "store_revision": 9})] * 3)
         for _ in range(3):
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -12,7 +12,7 @@
 from cicadafront import errors
 from cicadafront.cli import loop
 from cicadafront.emulator import store as emulator
-from cicadafront.store import client, outage
+from cicadafront.store import body, client, outage
 from tests.store.support import code, result, serve
 
 
@@ -210,6 +210,26 @@
         self.assertEqual(peers, [])
         loop.call(lambda: defer.maybeDeferred(port.stopListening))
 
+    def test_body_without_end(self):
+        """It is cut off, and nothing of it is kept."""
+        found = []
+
+        class Response:
+            def deliverBody(self, collector):  # noqa: N802
+                self.collector = collector
+                collector.transport = self
+
+            def loseConnection(self):  # noqa: N802
+                found.append("closed")
+
+        response = Response()
+        read = body.read(response, most=1000)
+        read.addErrback(lambda reason: found.append(reason.value.code))
+        for _ in range(100):
+            response.collector.dataReceived(b"x" * 100)
+        self.assertEqual(found, ["closed", "body_too_large"])
+        self.assertEqual(response.collector._pieces, [])
+
     def test_refused_connection_has_a_typed_error(self):
         loop.call(lambda: defer.maybeDeferred(self.port.stopListening))
         with self.assertRaises(errors.StoreUnavailableError):
