Cut off targets that send without end, and count it against them

What callers saw: an answer that goes on until the deadline. Cause: a target's answer was judged good at its head, and what followed was taken for a caller that reads slowly; neither interim heads nor a body without a stated length had a bound. A target that never stops kept a slot and the processor of two instances until the deadline of each request, and stayed in favour. Heads, trailers and chunk heads had a bound of 64 KB already, bytes behind an answer and on idle connections end the connection at once: tested now. Evidence: tests.agent.test_endless, 6 of 14 fail on the code before (both endless bodies, interim heads, three slow bodies: Stalled in place of Failed).

--- a/src/cicadafront/agent/connection.py
+++ b/src/cicadafront/agent/connection.py
@@ -12,6 +12,11 @@
 
 # Heads of answers; targets are trusted further than callers.
 MAX_HEAD_BYTES = 64 * 1024
+# Interim answers (1xx) before the answer. Few servers send more than two.
+MAX_INTERIM_HEADS = 16
+# Body of an answer that does not state its length. Without a bound, a target
+# that never stops would take the instance's processor until the deadline.
+MAX_UNSIZED_BYTES = 16 * 1024 * 1024
 
 
 class Exchange(Protocol):
@@ -63,12 +68,18 @@
         self._exchange: Exchange | None = exchange
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._lost = False
+        self._begin_answer()
+
+    def _begin_answer(self) -> None:
         self._headed = False
+        self._interim = 0
+        # Bytes that an answer without a length may still have.
+        self._unsized_left: int | None = None
 
     def run(self, exchange: Exchange) -> None:
         """Takes an exchange on an idle connection."""
         self._http.start_next_cycle()
-        self._headed = False
+        self._begin_answer()
         self._exchange = exchange
         self._drain.restart(exchange.body_consumed)
         self.source = flow.Source(self.transport)
@@ -164,22 +175,36 @@
                 return
             match event:
                 case h11.Response():
-                    self._headed = True
-                    exchange.answer_head(_head(event))
+                    self._take_head(exchange, _head(event))
                 case h11.Data():
-                    data = bytes(event.data)
-                    self.source.sent(len(data))
-                    exchange.answer_body(data)
+                    self._take_body(exchange, bytes(event.data))
                 case h11.EndOfMessage():
                     self._complete(exchange)
                     return
                 case h11.ConnectionClosed():
                     return
                 case h11.InformationalResponse():
-                    pass
+                    self._interim += 1
+                    if self._interim > MAX_INTERIM_HEADS:
+                        self._break("mangled")
                 case _:
                     return
 
+    def _take_head(self, exchange: Exchange, head: model.ResponseHead) -> None:
+        self._headed = True
+        if not headers.value_of(head.headers, b"content-length"):
+            self._unsized_left = MAX_UNSIZED_BYTES
+        exchange.answer_head(head)
+
+    def _take_body(self, exchange: Exchange, data: bytes) -> None:
+        if self._unsized_left is not None:
+            self._unsized_left -= len(data)
+            if self._unsized_left < 0:
+                self._break("endless")
+                return
+        self.source.sent(len(data))
+        exchange.answer_body(data)
+
     def _complete(self, exchange: Exchange) -> None:
         mangled = bool(self._http.trailing_data[0])
         done = self._http.our_state is h11.DONE
--- a/src/cicadafront/agent/observer.py
+++ b/src/cicadafront/agent/observer.py
@@ -27,7 +27,8 @@
     Attributes:
         kind: `refused` (no connection), `closed` (no answer), `short` (the
             body ended early), `mangled` (no valid answer, bytes beyond, or a
-            wrong digest), `crossed` (answer to another request) or `stalled`
+            wrong digest), `endless` (no end of the answer in time, or beyond
+            any size), `crossed` (answer to another request) or `stalled`
             (given up because the target is ejected).
     """
 
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -31,6 +31,7 @@
     "closed": "closed the connection without an answer",
     "short": "broke off its answer",
     "mangled": "sent bytes that are no valid answer",
+    "endless": "sends an answer without end",
     "crossed": "answered another request",
     "stalled": "stalls and is ejected",
 }
@@ -388,7 +389,11 @@
         if handed_over:
             executed = errors.Executed.UNKNOWN
         code = errors.DeadlineExceededError.code
-        self._close(observer.Stalled(seconds), code)
+        outcome: observer.Outcome = observer.Stalled(seconds)
+        if self._sends_on():
+            self._trace.broken("endless")
+            outcome = observer.Failed("endless")
+        self._close(outcome, code)
         self._response.fail(
             errors.DeadlineExceededError(
                 "The time limit of the route has passed.", executed=executed
@@ -396,6 +401,14 @@
             self._load(),
         )
 
+    def _sends_on(self) -> bool:
+        """Tells whether the target has begun an answer and does not end it.
+
+        An answer that waits for its caller is not the target's fault.
+        """
+        found = self._connection
+        return self._headed and found is not None and not found.source.paused
+
     def _is_late(self) -> bool:
         return self._agent.clock.seconds() >= self._deadline
 
--- a/src/cicadafront/health/service.py
+++ b/src/cicadafront/health/service.py
@@ -45,6 +45,7 @@
     "closed": outcomes.FailureKind.RESET,
     "short": outcomes.FailureKind.SHORT,
     "mangled": outcomes.FailureKind.MANGLED,
+    "endless": outcomes.FailureKind.MANGLED,
     "crossed": outcomes.FailureKind.CROSSED,
     "stalled": outcomes.FailureKind.TIMEOUT,
 }
--- /dev/null
+++ b/tests/agent/test_endless.py
@@ -0,0 +1,109 @@
+"""Tests of answers that never end."""
+
+import itertools
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront.agent import connection, observer
+from cicadafront.peer import exchange
+from tests.support.agent import OK, Site
+
+FAILED = ("target_failed", "unknown")
+INTERIM = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+UNSIZED = b"HTTP/1.1 200 OK\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PIECE = b"x" * exchange.CHUNK_BYTES
+CHUNK = b"%x\r\n%b\r\n" % (len(PIECE), PIECE)
+# No process may take more than this from a target that does not stop.
+MOST_BYTES = 2 * connection.MAX_UNSIZED_BYTES
+
+
+class EndlessTest(unittest.TestCase):
+    """Guards against targets that send until somebody closes."""
+
+    def setUp(self):
+        self.site = Site()
+        self.sink, self.response = self.site.open()
+        self.sink.end()
+
+    def pour(self, pieces, most=MOST_BYTES):
+        """Sends pieces until the agent closes; returns how many bytes."""
+        sent = 0
+        for piece in pieces:
+            if self.site.transport.aborted:
+                return sent
+            self.assertLess(sent, most, "the agent does not close")
+            self.site.receive(piece)
+            self.sink.consumed(len(piece))
+            sent += len(piece)
+        return sent
+
+    @parameterized.expand(
+        [
+            ("one line", b"HTTP/1.1 200 ", b"x" * 1000),
+            ("no lines", b"HTTP/1.1 200 OK\r\n", b"x" * 1000),
+            ("fields", b"HTTP/1.1 200 OK\r\n", b"A: " + b"x" * 95 + b"\r\n"),
+            ("trailers", CHUNKED + b"0\r\n", b"A: " + b"x" * 95 + b"\r\n"),
+            ("chunk head", CHUNKED + b"5;", b"x" * 1000),
+            ("interim heads", INTERIM, INTERIM),
+        ]
+    )
+    def test_head(self, _name, start, piece):
+        pieces = itertools.chain([start], itertools.repeat(piece))
+        self.pour(pieces, most=2 * connection.MAX_HEAD_BYTES)
+        self.assertEqual(
+            self.site.watcher.outcomes, [observer.Failed("mangled")]
+        )
+        self.assertEqual(self.response.events[-1], FAILED)
+
+    @parameterized.expand(
+        [("until it closes", UNSIZED, PIECE), ("chunks", CHUNKED, CHUNK)]
+    )
+    def test_body(self, _name, head, piece):
+        self.pour(itertools.chain([head], itertools.repeat(piece)))
+        self.assertEqual(
+            self.site.watcher.outcomes[-1], observer.Failed("endless")
+        )
+        self.assertEqual(self.response.events[-1], FAILED)
+        self.assertNotIn("end", self.response.events)
+        self.assertEqual(self.site.queue.load("t").slots_in_use, 0)
+
+    @parameterized.expand(
+        [
+            ("until it closes", UNSIZED, b"x"),
+            ("chunks", CHUNKED, b"1\r\nx\r\n"),
+            (
+                "more than it can send",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n",
+                b"x",
+            ),
+        ]
+    )
+    def test_slow_body_counts_against_the_target(self, _name, head, piece):
+        self.site.receive(head)
+        for _ in range(51):
+            self.site.receive(piece)
+            self.site.clock.advance(0.1)
+        self.assertTrue(self.site.transport.aborted)
+        self.assertEqual(
+            self.site.watcher.outcomes[-1], observer.Failed("endless")
+        )
+        self.assertNotIn("end", self.response.events)
+
+    def test_slow_caller_does_not_count_against_the_target(self):
+        self.site.receive(UNSIZED)
+        while self.site.transport.producerState == "producing":
+            self.site.receive(PIECE)
+        self.site.clock.advance(5.0)
+        self.assertNotIn(observer.Failed("endless"), self.site.watcher.outcomes)
+
+    @parameterized.expand([(OK,), (b"HTTP/1.1 204 No Content\r\n\r\n",)])
+    def test_bytes_after_the_answer(self, answer):
+        sent = self.pour(itertools.chain([answer], itertools.repeat(PIECE)))
+        self.assertLessEqual(sent, len(answer) + len(PIECE))
+        self.assertEqual(self.response.events[-1], "end")
+
+
+if __name__ == "__main__":
+    unittest.main()
