Run no request again while the services that it calls are in debt

Where a request makes several calls, the repeats of one service alone exceed the budget of another: 252 repeats in 10 s where 180 are allowed (three calls a request, 20 requests/s), 504 of 300, 104 of 80, in tests.limits.test_retries.RetriesTest .test_repeats_whose_calls_fan_out without the check. Change: keepers tell with each answer when they have tokens again; an agent refuses requests that another target has had while a service that its target called for such requests is in debt by more than 0.25 s of its rate (errors.CallBudgetUsedError, not run, free to ask another target). Ruled out: 1 s (186 of 180). Tests: also tests.routing.test_gate.RepeatedTest.

--- a/src/cicadafront/errors.py
+++ b/src/cicadafront/errors.py
@@ -150,6 +150,13 @@
     status = 503
 
 
+class CallBudgetUsedError(RequestError):
+    """A repeated request would make calls to services without retries left."""
+
+    code = "call_budget_used"
+    status = 503
+
+
 class TargetShedError(RequestError):
     """The target states that it did not run the request."""
 
--- a/src/cicadafront/limits/retries.py
+++ b/src/cicadafront/limits/retries.py
@@ -27,6 +27,9 @@
 BURST_SHARE = 0.2
 # Part of the burst with which a new keeper starts.
 FIRST_SHARE = 0.5
+# Debt of a budget, in seconds of its rate, from which on no request is repeated
+# whose calls would add to it.
+MOST_DEBT_SECONDS = 0.25
 # No client account has this prefix.
 _PREFIX = "\0retries\0"
 
@@ -89,6 +92,8 @@
         self._admission = admission
         self._allowance = allowance
         self._seen: dict[str, recent.Recent] = {}
+        # Services that repeated requests call here, and when they last did.
+        self._called: dict[str, float] = {}
 
     def request(self, service: str, now: float, repeated: float = 0.0) -> None:
         """Notes a first attempt, which allows a part of a retry.
@@ -105,6 +110,7 @@
         seen.add(now)
         if repeated:
             self.counts["charged"] += 1
+            self._called[service] = now
             self._admission.charge(
                 self._budget(service), repeated, seen.projected(now)
             )
@@ -117,6 +123,20 @@
         )
         return spent.addCallbacks(self._granted, self._refused)
 
+    def may_repeat(self, now: float) -> bool:
+        """Tells whether a request may run again at the target here.
+
+        Its calls are repeats as well. They cannot be refused without failing
+        it, so it waits until the services that it calls can bear them.
+        """
+        window = self._allowance.window
+        return all(
+            self._admission.empty_seconds(_PREFIX + service)
+            <= MOST_DEBT_SECONDS
+            for service, at in self._called.items()
+            if now - at < window
+        )
+
     def _budget(self, service: str) -> config_model.ClientAccount:
         account = budget_of(_PREFIX + service, self._allowance)
         if account is None:
--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -156,6 +156,8 @@
         self._demands: dict[str, _Demand] = {}
         self._shares: dict[str, tokens.Bucket] = {}
         self._silent: dict[str, float] = {}
+        # When keepers will have tokens again, as they said last.
+        self._empty_until: dict[str, float] = {}
         self._ranked: dict[str, list[str]] = {}
         directory.on_change(self._ranked.clear)
         calls.register(METHOD, self._serve)
@@ -220,6 +222,11 @@
         else:
             self._ask(asked, account, demand)
 
+    def empty_seconds(self, account: str) -> float:
+        """Returns how long an account has no tokens, as far as is known."""
+        until = self._empty_until.get(account, 0.0)
+        return max(0.0, until - self._clock.seconds())
+
     def _keeper(self, now: float, account: str) -> str | None:
         """Returns the instance to ask, or None if it does not answer."""
         if account not in self._ranked:
@@ -261,6 +268,7 @@
         demand.asking = False
         granted, wait = _ANSWER.unpack(answer)
         now = self._clock.seconds()
+        self._empty_until[account.id] = now + wait
         if not granted:
             waiting = list(demand.waiting)
             demand.waiting.clear()
@@ -348,7 +356,7 @@
         wanted: int,
         demand: _Demand,
     ) -> tuple[int, float]:
-        return self._ledger.grant(
+        granted, wait = self._ledger.grant(
             now,
             account,
             wanted,
@@ -356,6 +364,8 @@
             self._here,
             self._is_second(account.id),
         )
+        self._empty_until[account.id] = now + wait
+        return granted, wait
 
     def _share(
         self, now: float, account: config_model.ClientAccount, demand: _Demand
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -69,6 +69,8 @@
         crashed: Learns of requests and how they end.
         alone: Tells whether a request must run with no other one.
         shed: Called with a target that refused a request, and the status.
+        may_repeat: Tells whether requests that another target has had may
+            run here, which repeats their calls as well.
     """
 
     def __init__(
@@ -77,11 +79,13 @@
         crashed: crashes.Crashes,
         alone: Callable[[queue.Entry], bool] = lambda entry: False,
         shed: Callable[[str, int], None] = lambda target, status: None,
+        may_repeat: Callable[[], bool] = lambda: True,
     ):
         self._clock = clock
         self._crashes = crashed
         self._alone = alone
         self._shed = shed
+        self._may_repeat = may_repeat
         self._usual = spells.Usual()
         self._places: dict[str, _Place] = {}
         self._timer: Any = None
@@ -225,6 +229,8 @@
         self, now: float, place: _Place, entry: queue.Entry
     ) -> errors.RequestError | None:
         """Returns why a request cannot even wait, or None."""
+        if entry.repeated and not self._may_repeat():
+            return _calls_used(entry)
         if self._alone(entry):
             if place.holding or place.waiting:
                 return _busy(entry, self._drain(place))
@@ -357,6 +363,8 @@
 SUSPENDED_SECONDS = 1.0
 # A client that returns sooner finds the same queue.
 LEAST_WAIT_SECONDS = 0.1
+# Some retries come back to a budget within this time.
+CALLS_USED_SECONDS = 1.0
 
 
 def _busy(entry: queue.Entry, wait: float) -> errors.RequestError:
@@ -366,6 +374,14 @@
     )
 
 
+def _calls_used(entry: queue.Entry) -> errors.RequestError:
+    return errors.CallBudgetUsedError(
+        f"The services that target {entry.target} calls have used their "
+        "retry budgets; try again later.",
+        retry_after=CALLS_USED_SECONDS,
+    )
+
+
 def _doubted(entry: queue.Entry, seconds: float) -> errors.RequestError:
     return errors.TargetDoubtedError(
         f"Target {entry.target} seems to stall; try another one.",
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -199,6 +199,7 @@
             self.crashes,
             alone=self._must_run_alone,
             shed=self._shed,
+            may_repeat=lambda: self.budget.may_repeat(self.reactor.seconds()),
         )
         self.registry = beats.BeatRegistry(
             self.gossip,
--- a/tests/limits/test_retries.py
+++ b/tests/limits/test_retries.py
@@ -140,6 +140,36 @@
         found, _ = net.play(random.Random(1), 20, 20, share=1.0, repeated=0.2)
         self.assertLessEqual(most_in_a_window(found), allowed(20))
 
+    @parameterized.expand([(3, 20), (6, 20), (2, 5), (1, 60)])
+    def test_repeats_whose_calls_fan_out(self, calls, per_second):
+        """Each request of the service s makes calls to the service b."""
+        net = RetryNet(FLEET)
+        rng = random.Random(1)
+        repeated = []
+
+        def run(repeat):
+            beside = net.budgets[rng.choice(FLEET[:6])]
+            now = net.clock.seconds()
+            if repeat and not beside.may_repeat(now):
+                return
+            for _ in range(calls):
+                beside.request("b", now, float(repeat))
+            repeated.extend([now] * calls * repeat)
+
+        for _ in range(per_second * 40):
+            entry = net.budgets[rng.choice(FLEET)]
+            now = net.clock.seconds()
+            entry.request("s", now)
+            run(False)
+            entry.try_retry("s", now).addCallback(
+                lambda paid: run(True) if paid else None
+            )
+            net.clock.advance(1 / per_second)
+        self.assertLessEqual(
+            most_in_a_window(repeated), allowed(per_second * calls)
+        )
+        self.assertGreater(len(repeated), 40)
+
     @parameterized.expand([(5, 0.5), (20, 0.3), (60, 0.2)])
     def test_usual_faults_are_covered(self, per_second, share):
         granted, refused = RetryNet().play(
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -84,7 +84,7 @@
 class World:
     """A gate on virtual time."""
 
-    def __init__(self, alone=lambda entry: False):
+    def __init__(self, alone=lambda entry: False, may_repeat=lambda: True):
         self.clock = task.Clock()
         self.shed = []
         crashed = crashes.Crashes(
@@ -95,6 +95,7 @@
             crashed,
             alone,
             shed=lambda *what: self.shed.append(what),
+            may_repeat=may_repeat,
         )
 
     def work(self, **fields):
@@ -277,6 +278,22 @@
 class RepeatedTest(unittest.TestCase):
     """Guards against calls of repeated requests that nobody notices."""
 
+    @parameterized.expand(
+        [
+            (False, True, ""),
+            (False, False, ""),
+            (True, True, ""),
+            (True, False, "call_budget_used"),
+        ]
+    )
+    def test_second_run_waits_for_the_budget_of_its_calls(
+        self, repeated, allowed, refusal
+    ):
+        world = World(may_repeat=lambda: allowed)
+        for insist in (SLOT, PLACE, ANY):
+            work = Work(world, repeated=repeated, insist=insist)
+            self.assertEqual(work.refusal, refusal)
+
     @parameterized.expand(
         [([], 0.0), ([False], 0.0), ([True], 1.0), ([True, False], 0.5)]
     )
