Do not refuse a retry for the answer to a charge

What callers saw: nothing yet; found while reading the change. Cause: charges and requests for tokens share one call to the keeper. A retry that was wanted while a charge was on its way took the answer to the charge, which grants nothing, for a refusal. Change: after an answer to a charge those that wait are asked for. Test: tests.limits.test_shares.SharesTest.test_request_beside_a_charge_is_not_refused_unasked (failed: [False] in place of [True]).

--- a/src/cicadafront/limits/keeping.py
+++ b/src/cicadafront/limits/keeping.py
@@ -34,7 +34,8 @@
 SECOND_IDLE_SECONDS = 1.0
 # Instances that may keep the tokens of an account, in the order of asking.
 KEEPERS = 2
-# Time for which a keeper believes what an instance said of its requests.
+# Time for which a keeper believes what an instance said of its requests: half
+# of the window in which operators count repeats.
 REPORT_SECONDS = 5.0
 
 
@@ -127,7 +128,7 @@
 
 
 @attrs.define
-class _Account:
+class _Kept:
     bucket: tokens.Bucket
     # Seen requests by instance, and when it told.
     seen: dict[str, tuple[float, float]] = attrs.field(factory=dict)
@@ -152,7 +153,7 @@
 
     def __init__(self, limit_of: LimitOf = stated_limit) -> None:
         self._limit_of = limit_of
-        self._accounts: dict[str, _Account] = {}
+        self._accounts: dict[str, _Kept] = {}
 
     def grant(
         self,
@@ -177,7 +178,7 @@
         kept = self._accounts.get(account.id)
         if kept is None:
             first = max(1.0, self._limit_of(account, 0.0).first)
-            kept = _Account(tokens.Bucket(0.0, first, first, now))
+            kept = _Kept(tokens.Bucket(0.0, first, first, now))
             self._accounts[account.id] = kept
         limit = self._limit_of(account, kept.note(now, asking, report.seen))
         bucket = kept.bucket
--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -254,7 +254,7 @@
             wanted = min(keeping.MOST_GRANTED, len(demand.waiting) + 1)
         ask = _Ask(wanted, self._here, account.id, demand.report())
         answered = self._calls.call(asked, METHOD, ask.encode(), CALL_SECONDS)
-        answered.addCallback(self._answered, account, demand)
+        answered.addCallback(self._answered, account, demand, wanted)
         answered.addErrback(
             self._unanswered, asked, account, demand, ask.report.owed
         )
@@ -264,11 +264,16 @@
         answer: bytes,
         account: config_model.ClientAccount,
         demand: _Demand,
+        wanted: int,
     ) -> None:
         demand.asking = False
         granted, wait = _ANSWER.unpack(answer)
         now = self._clock.seconds()
         self._empty_until[account.id] = now + wait
+        if not wanted:
+            # Only a charge: the keeper knows nothing of those that wait.
+            self._go_on(account, demand)
+            return
         if not granted:
             waiting = list(demand.waiting)
             demand.waiting.clear()
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -173,6 +173,25 @@
         granted = sum(ledger.grant(0.0, account, 1)[0] for _ in range(50))
         self.assertEqual(granted, 20 * keeping.FIRST_SHARE)
 
+    def test_request_beside_a_charge_is_not_refused_unasked(self):
+        net = Net()
+        other = next(name for name in NAMES if name != net.keeper)
+        net.members[other].charge(net.account, 1.0)
+        found = []
+        net.ask(other, found.append)
+        net.clock.pump([0.01] * 5)
+        self.assertEqual(found, [True])
+
+    def test_charge_is_told_once_and_again_after_silence(self):
+        net = Net(rate=0.01, burst=20.0)
+        other = next(name for name in NAMES if name != net.keeper)
+        net.cut = {net.keeper, net.deputy}
+        net.members[other].charge(net.account, 4.0)
+        net.clock.advance(2 * shares.SILENT_SECONDS)
+        net.cut = set()
+        admitted, _ = net.load(self.rng, [other], 100, 1)
+        self.assertEqual(admitted, 20 * keeping.FIRST_SHARE - 4)
+
     def test_lower_limit_holds_at_once(self):
         net = Net()
         net.load(self.rng, NAMES, 45, 2)
