--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -1,5 +1,6 @@
 """Checks the promises on what callers and targets saw; pure."""
 
+import bisect
 import collections
 from collections.abc import Iterable, Iterator
 
@@ -15,6 +16,10 @@
 QUOTA_SECONDS = 5.0
 QUOTA_SHARE = 0.1
 QUOTA_EXTRA = 20.0
+REPEAT_SECONDS = 10.0
+REPEAT_SHARE = 0.2
+# Less than the deployments allow: a soak has few instances.
+REPEAT_EXTRA = 10
 
 
 @attrs.define
@@ -74,6 +79,8 @@
     Attributes:
         calls: Calls by id.
         runs: Runs in the order of their beginning.
+        arrivals: Ids and times of the requests that reached a target, those
+            that it refused included.
         accounts: Account of each key that was ever given.
         rates: Rate and burst of limited accounts.
         left: Time at which the leaving of a target was acknowledged.
@@ -85,6 +92,7 @@
 
     calls: dict[str, Call] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
+    arrivals: list[tuple[str, float]] = attrs.field(factory=list)
     accounts: dict[str, str] = attrs.field(factory=dict)
     rates: dict[str, tuple[float, float]] = attrs.field(factory=dict)
     left: dict[str, float] = attrs.field(factory=dict)
@@ -122,7 +130,7 @@
 def violations(history: History) -> list[str]:
     """Returns all promises that were broken."""
     found: list[str] = []
-    for check in (_runs, _answers, _leaving, _rates, _withdrawn):
+    for check in CHECKS:
         found += check(history)
     found += [f"ended by itself: {name}" for name in history.ended]
     found += [f"does not serve again: {name}" for name in history.unserved]
@@ -207,3 +215,29 @@
         ):
             late = call.sent - time
             yield f"withdrawn: {call.id} was served {late:.2f} s after"
+
+
+def _repeats(history: History) -> Iterator[str]:
+    first: set[str] = set()
+    again = []
+    for id, time in sorted(history.arrivals, key=lambda each: each[1]):
+        if id in first:
+            again.append(time)
+        first.add(id)
+    sent = sorted(call.sent for call in history.calls.values())
+
+    def requests(begin: float) -> int:
+        end = begin + REPEAT_SECONDS
+        return bisect.bisect_left(sent, end) - bisect.bisect_left(sent, begin)
+
+    for place, time in enumerate(again):
+        count = bisect.bisect_left(again, time + REPEAT_SECONDS) - place
+        # The window, the one before it, and the one half a window before it.
+        starts = (time - part * REPEAT_SECONDS for part in (0, 0.5, 1))
+        most = REPEAT_SHARE * max(map(requests, starts)) + REPEAT_EXTRA
+        if count > most:
+            yield f"repeats: {count} from {time:.2f} s, {most:.0f} allowed"
+            return
+
+
+CHECKS = (_runs, _answers, _leaving, _rates, _withdrawn, _repeats)
--- a/tests/soak/parties.py
+++ b/tests/soak/parties.py
@@ -20,7 +20,13 @@
 WORK_SECONDS = 0.02
 BEAT_SECONDS = 1.0
 FAULTS = ("stall", "reset", "error", "short", "extra", "shed")
+# Faults that were added later; they come from a draw of their own, so that the
+# faults of a seed stay as they were.
+LATER_FAULTS = ("endless body", "endless head")
 _STALL_SECONDS = 10.0
+# Pace of an answer without end.
+_PIECE = b"A: " + b"x" * 16381 + b"\r\n"
+_PIECE_SECONDS = 0.01
 
 
 class Store(standin.StoreStandIn):
@@ -136,6 +142,7 @@
         target, request = self.target, self.request
         fields = {k.decode(): v.decode() for k, v in request.headers}
         id = fields.get("cicadafront-request-id", "")
+        target.history.arrivals.append((id, target.reactor.seconds()))
         expected = fields.get("cicadafront-expect-instance", target.id)
         if expected != target.id:
             self.answer(421, id, "other", {"Cicadafront-Not-Executed": "1"})
@@ -174,6 +181,13 @@
         run.status = 500 if fault == "error" else 200
         stamp = {"Cicadafront-Server-Stamp": checks.stamp_of(run)}
         body = checks.body_of(run)
+        if fault in LATER_FAULTS:
+            head = f"HTTP/1.1 200 OK\r\nCicadafront-Request-Id: {run.id}\r\n"
+            head += f"Cicadafront-Server-Stamp: {checks.stamp_of(run)}\r\n"
+            end = "\r\n" if fault == "endless body" else ""
+            self.transport.write((head + end).encode())
+            self.pour()
+            return
         if fault == "short":
             head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
             head += f"Cicadafront-Request-Id: {run.id}\r\n"
@@ -187,6 +201,12 @@
                 b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
             )
 
+    def pour(self) -> None:
+        """Goes on sending until the connection is closed."""
+        if self.transport is not None and self.transport.connected:
+            self.transport.write(_PIECE)
+            self.target.reactor.callLater(_PIECE_SECONDS, self.pour)
+
     def answer(
         self, status: int, id: str, body: str, fields: dict[str, str]
     ) -> None:
@@ -257,6 +277,7 @@
                 f'store = "{HOST}:{self.store.port}"',
                 f'target = "{HOST}:{self.target.proxy.port}"',
                 f'service = "{SERVICE}"',
+                f"retry_extra = {checks.REPEAT_EXTRA}",
                 f"first_start = {'true' if self.starts == 0 else 'false'}",
                 "",
             ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -85,7 +86,18 @@
         how = rng.choice(VARIANTS[kind])
         found.append(Fault(at, kind, place, rng.uniform(*LENGTHS), how))
         at += rng.uniform(*PAUSES)
-    return found
+    return sorted([*found, *_later(seed, seconds)], key=lambda each: each.at)
+
+
+def _later(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields the faults of kinds that were added after the first seeds."""
+    rng = random.Random(f"later {seed}")
+    at = rng.uniform(1.0, 6.0)
+    while at < seconds:
+        how = rng.choice(parties.LATER_FAULTS)
+        place = rng.randrange(INSTANCES)
+        yield Fault(at, "target", place, rng.uniform(*LENGTHS), how)
+        at += rng.uniform(1.0, 6.0)
 
 
 def _links(link: proxy.Proxy, how: str) -> tuple[Any, Any]:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,7 +5,7 @@
 import attrs
 from parameterized import parameterized
 
-from tests.soak import checks, run
+from tests.soak import checks, parties, run
 
 CALL = checks.Call("1", "pay", "k", "n0", 10.0, 200, stamp="t.1", body="1 at t")
 RUN = checks.Run("1", "POST /pay/1", "t", "n1", "a", False, 10.0, 200)
@@ -34,6 +34,18 @@
     return {"calls": calls, "runs": runs}
 
 
+def repeated(count, *, calls=20):
+    """Returns calls of which some reach a second target."""
+    sent = many(calls, 0.0, 4.0)
+    sent["calls"] = [
+        attrs.evolve(call, sent=run.began)
+        for call, run in zip(sent["calls"], sent["runs"], strict=True)
+    ]
+    once = [(run.id, run.began) for run in sent["runs"]]
+    again = [(id, time + 1.0) for id, time in once[:count]]
+    return {**sent, "arrivals": once + again}
+
+
 class ChecksTest(unittest.TestCase):
     """Guards against a soak that sees nothing."""
 
@@ -63,6 +75,7 @@
             ("leaving", {"left": {"t": 7.9}}),
             ("rate", {**many(37, 0.0, 4.9), "rates": {"a": (2.0, 5.0)}}),
             ("withdrawn", {"withdrawn": {"k": 7.9}}),
+            ("repeats", repeated(15)),
             ("ended by itself", {"ended": ["n0 (1)"]}),
             ("does not serve again", {"unserved": ["n0"]}),
         ]
@@ -74,6 +87,7 @@
         [
             ("soon_after_leaving", {"left": {"t": 8.1}}),
             ("soon_after_the_withdrawal", {"withdrawn": {"k": 8.1}}),
+            ("within_the_budget", repeated(14)),
             ("within_the_rate", {**many(36, 0.0, 4.9), "rates": {"a": (2, 5)}}),
             (
                 "out_of_touch",
@@ -107,6 +121,7 @@
         wanted = {
             (kind, how) for kind, hows in run.VARIANTS.items() for how in hows
         }
+        wanted |= {("target", how) for how in parties.LATER_FAULTS}
         self.assertEqual(kinds, wanted)
 
     def test_same_seed_same_plan(self):
