--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -424,15 +424,8 @@
     @parameterized.expand([(0, "first"), (1, "repeat"), (2, "repeat")])
     def test_kind_of_arrival_is_counted(self, arrivals, kind):
         site = Site()
-        request = exchange.OpenRequest(
-            model.RequestHead("GET", "/x", ((b"Host", b"h"),)),
-            "",
-            "s",
-            "t",
-            5.0,
-            arrivals=arrivals,
-        )
-        site.agent.open(request, memory.Response()).end()
+        sink, _ = site.open(arrivals=arrivals)
+        sink.end()
         self.assertIn(
             f'agent_arrivals_total{{kind="{kind}",service="s"}} 1',
             site.agent.metrics.text().decode(),
--- a/tests/support/agent.py
+++ b/tests/support/agent.py
@@ -96,11 +96,21 @@
         place = targets.LocalTarget(target, "127.0.0.1", 1)
         self.directory.beside["t"] = place
 
-    def open(self, repeatable=True, timeout=5.0, method="GET", fields=()):
-        """Opens an exchange; returns its two ends."""
+    def open(
+        self, repeatable=True, timeout=5.0, method="GET", fields=(), **others
+    ):
+        """Opens an exchange; returns its two ends.
+
+        Args:
+            repeatable: Whether the request may run more than once.
+            timeout: Seconds until the answer must be complete.
+            method: Method of the request.
+            fields: Further headers.
+            others: Further fields of the `OpenRequest`.
+        """
         head = model.RequestHead(method, "/x", ((b"Host", b"h"), *fields))
         request = exchange.OpenRequest(
-            head, "", "s", "t", timeout, repeatable=repeatable
+            head, "", "s", "t", timeout, repeatable=repeatable, **others
         )
         response = memory.Response()
         return self.agent.open(request, response), response
