Show what was decided about a request in its explanation

What operators saw: cicadafront explain left out the lines that name the request (a further arrival paid or refused), and listed arrivals of other requests at the same targets. Cause: lines were chosen by target and instance only. Change: a line that names a request belongs to that request. The command line only; no process of the fleet loads this module.

--- a/src/cicadafront/telemetry/story.py
+++ b/src/cicadafront/telemetry/story.py
@@ -129,6 +129,8 @@
 def _concerns(line: Line, own: Line, names: set[str]) -> bool:
     if line.text == REQUEST:
         return False
+    if "request" in line.fields:
+        return line.fields["request"] == own.fields.get("request")
     values = {line.fields.get(key) for key in ("target", "other", "keeper")}
     if values & names:
         return True
--- a/tests/telemetry/test_story.py
+++ b/tests/telemetry/test_story.py
@@ -54,6 +54,17 @@
             causes(failed(), SUSPENDED), ["gate: a target is suspended."]
         )
 
+    def test_decisions_about_the_request_but_not_about_others(self):
+        refused = "repeats: the retry budget refuses a further arrival."
+        reached = "agent: a repeated request reaches a target."
+        known = [
+            failed(),
+            line("n1", 99.9, refused, request="r1", service="s"),
+            line("n2", 99.1, reached, request="r1", target="t2"),
+            line("n2", 99.2, reached, request="r2", target="t2"),
+        ]
+        self.assertEqual(causes(*known), [reached, refused])
+
     def test_planned_stop_of_the_instance_beside_the_target(self):
         stop = line(
             "n2", 98.5, "", message="daemon: leaving: the fleet is told"
