Ask all addresses when joining, several at once, before resting

Callers of other accounts saw nothing.

Each newcomer asked one random address a second, of which most were stale, and rested for 60 s as soon as it knew any peer. So the newcomers found each other and not the old instance: two fleets for up to 3.5 s, each with a keeper of the account that granted the whole rate.

Change: `membership/joining.py` asks five addresses at once, each once, those of known instances left out, and only then rests. Every address that no live instance has is asked again after pauses that double to 60 s.

Before: tests.membership.test_joining 48 of 50 fail.

--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -15,6 +15,7 @@
     budget,
     codec,
     exchange,
+    joining,
     judgement,
     messages,
     outbox,
@@ -28,11 +29,6 @@
 TICK_SECONDS = 0.1
 DIGEST_SECONDS = 10.0
 DEAD_PROBE_SECONDS = 5.0
-# Without peers, a seed is asked at this period.
-SEED_SECONDS = 1.0
-# With peers, a seed is still asked now and then, so that two halves that have
-# forgotten each other meet again.
-SEED_IDLE_SECONDS = 60.0
 PURGE_SECONDS = 60.0
 # New claims do not wait for the next probe, but after a mass failure each
 # instance sends them at most this often.
@@ -67,7 +63,6 @@
 
     Attributes:
         counters: Traffic counters.
-        seeds: Addresses through which it joins, without its own.
     """
 
     def __init__(
@@ -80,7 +75,8 @@
     ):
         self.counters = outbox.Counters()
         self._rng = rng
-        self.seeds = [s for s in seeds if s != me.gossip_address]
+        others = [seed for seed in seeds if seed != me.gossip_address]
+        self._seeds = joining.Seeds(others, rng)
         self.pace = pace
         self._state = state.State(me, rng, now, pace.eager)
         self._judge = self._state.judge
@@ -102,10 +98,21 @@
             self._probe: now + rng.uniform(0, judgement.PROBE_SECONDS),
             self._probe_dead: now + DEAD_PROBE_SECONDS,
             self._send_digest: now + rng.uniform(0, pace.digest_seconds),
-            self._ask_seed: now,
+            self._ask_seeds: now,
             self._purge: now + PURGE_SECONDS,
         }
 
+    @property
+    def seeds(self) -> list[records.Address]:
+        """Addresses through which it joins, without its own."""
+        return self._seeds.addresses
+
+    @seeds.setter
+    def seeds(self, addresses: Iterable[records.Address]) -> None:
+        self._seeds.replace(addresses)
+        # They are asked with the next tick.
+        self._due[self._ask_seeds] = 0.0
+
     @property
     def eager(self) -> bool:
         """Whether every change of a target is broadcast."""
@@ -306,15 +313,17 @@
             out += self._exchange.ask(now, address, body)
         return out
 
-    def _ask_seed(self, now: float) -> list[Datagram]:
-        period = SEED_IDLE_SECONDS if self._judge.peers else SEED_SECONDS
-        self._due[self._ask_seed] = now + period
-        if not self.seeds:
-            return []
-        sequence = self._judge.prober.next_sequence()
-        address = self._rng.choice(self.seeds)
-        ping = probing.Send(address, sequence, messages.Ping())
-        return self._exchange.send(now, ping, _P.ORDINARY)
+    def _ask_seeds(self, now: float) -> list[Datagram]:
+        peers = self._judge.peers
+        known = {self._known.members[id].record.gossip_address for id in peers}
+        addresses, pause = self._seeds.take(known, alone=not peers)
+        self._due[self._ask_seeds] = now + pause
+        out: list[Datagram] = []
+        for address in addresses:
+            sequence = self._judge.prober.next_sequence()
+            ping = probing.Send(address, sequence, messages.Ping())
+            out += self._exchange.send(now, ping, _P.ORDINARY)
+        return out
 
     def _push_claims(self, now: float) -> list[Datagram]:
         if not self._state.fresh_claims or now < self._push_due:
--- /dev/null
+++ b/tests/membership/test_joining.py
@@ -0,0 +1,57 @@
+"""Instances that find the fleet through addresses of which many are stale."""
+
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront.membership import gossip, joining
+from tests.membership import network
+
+STALE = [(f"10.8.0.{number}", 7002) for number in range(1, 21)]
+PACE = gossip.Pace(digest_seconds=1.5)
+# Two instances that keep one rate must learn of each other before their
+# windows fill.
+MEET_SECONDS = 1.0
+
+
+def all_meet(net):
+    """Returns whether each instance believes that all others run."""
+    return all(
+        len(node.peers()) == len(net.nodes) - 1 for node in net.nodes.values()
+    )
+
+
+class JoiningTest(unittest.TestCase):
+    """Guards against newcomers that form a fleet of their own."""
+
+    @parameterized.expand(
+        [
+            (f"{stale} stale {seed}", stale, seed)
+            for stale in (2, 4)
+            for seed in range(1, 21)
+        ]
+    )
+    def test_newcomers_meet_the_fleet(self, _name, stale, seed):
+        net = network.Network(seed)
+        [old] = net.fleet(1)
+        found = [*STALE[:stale], old.me.gossip_address]
+        for number in range(3):
+            new = net.start(f"new{number}")
+            new.seeds = list(found)
+            found.append(new.me.gossip_address)
+        net.run_until(lambda: all_meet(net), MEET_SECONDS)
+
+    @parameterized.expand([(seed,) for seed in range(1, 11)])
+    def test_pairs_merge(self, seed):
+        net = network.Network(seed)
+        nodes = net.fleet(2, pace=PACE)
+        addresses = [node.me.gossip_address for node in nodes]
+        pair = [net.start(f"new{number}", pace=PACE) for number in range(2)]
+        for node in pair:
+            node.load(net.now, [other.me for other in pair])
+        net.run(0.5)
+        pair[0].seeds = [*STALE, *addresses]
+        # All addresses are asked; then digests tell the rest.
+        limit = joining.NEXT_SECONDS * len(STALE) / joining.ASKED_AT_ONCE
+        limit += 3 * PACE.digest_seconds
+        net.run_until(lambda: all_meet(net), limit)
