Test that a fleet that restarts together becomes one within 2 s

The same cause as before: each of 30 instances that restart within a second asked one of the 30 addresses.

--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -32,6 +32,11 @@
         self.blocked |= set(itertools.product(senders, receivers))
 
 
+def address(number: int) -> records.Address:
+    """Returns the gossip address of the instance started as this one."""
+    return f"10.0.{(number + 1) // 250}.{(number + 1) % 250 + 1}", 7002
+
+
 class Network:
     """Instances that exchange datagrams; time passes only in `run`."""
 
@@ -50,16 +55,15 @@
         self, id: str, incarnation: int = 1, seeds=(), **options
     ) -> gossip.Gossip:
         """Starts an instance, in place of one with the same id."""
-        number = len(self._names) + 1
-        host = f"10.0.{number // 250}.{number % 250 + 1}"
-        address = host, 7002
+        gossip_address = address(len(self._names))
+        peer_address = gossip_address[0], 7001
         me = records.InstanceRecord(
-            id, incarnation, 1, "dar-a", (host, 7001), address
+            id, incarnation, 1, "dar-a", peer_address, gossip_address
         )
         rng = random.Random(self._rng.random())
         node = gossip.Gossip(me, rng, self.now, seeds, **options)
         self.nodes[id] = node
-        self._names[address] = id
+        self._names[gossip_address] = id
         self._inboxes[id] = []
         self.at(self.now + self._rng.uniform(0, 0.1), self._ticker(id, node))
         return node
--- a/tests/membership/test_joining.py
+++ b/tests/membership/test_joining.py
@@ -1,5 +1,7 @@
 """Instances that find the fleet through addresses of which many are stale."""
 
+import functools
+import random
 import unittest
 
 from parameterized import parameterized
@@ -8,7 +10,11 @@
 from tests.membership import network
 
 STALE = [(f"10.8.0.{number}", 7002) for number in range(1, 21)]
-PACE = gossip.Pace(digest_seconds=1.5)
+PACE = gossip.Pace(digest_seconds=1.5, eager=True)
+FLEET = 30
+START_SECONDS = 1.0
+# Time within which operators expect all instances to follow a change.
+APPLY_SECONDS = 2.0
 # Two instances that keep one rate must learn of each other before their
 # windows fill.
 MEET_SECONDS = 1.0
@@ -55,3 +61,23 @@
         limit = joining.NEXT_SECONDS * len(STALE) / joining.ASKED_AT_ONCE
         limit += 3 * PACE.digest_seconds
         net.run_until(lambda: all_meet(net), limit)
+
+    @parameterized.expand([(seed,) for seed in range(1, 11)])
+    def test_fleet_that_restarts_together(self, seed):
+        net = network.Network(seed)
+        draws = random.Random(seed)
+        addresses = [network.address(number) for number in range(FLEET)]
+        for number in range(FLEET):
+            net.at(
+                draws.uniform(0.0, START_SECONDS),
+                functools.partial(_join, net, f"i{number:03d}", addresses),
+            )
+        net.run(START_SECONDS + APPLY_SECONDS)
+        self.assertTrue(all_meet(net))
+
+
+def _join(net, id, addresses):
+    node = net.start(id, pace=PACE)
+    node.seeds = [
+        address for address in addresses if address != node.me.gossip_address
+    ]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,7 +12,8 @@
     6,
     # Instances that had just started, and second keepers with a full bucket,
     # granted six more than a window takes. Later, beside load: a reload ended
-    # a process that was still loading its libraries.
+    # a process that was still loading its libraries. Then again: instances
+    # that restarted together formed a fleet of their own for seconds.
     20,
 )
 SECONDS = 15.0
