--- a/src/cicadafront/limits/keeping.py
+++ b/src/cicadafront/limits/keeping.py
@@ -72,6 +72,15 @@
     first: float
     alone: float = 1.0
 
+    def part(self, share: float) -> "Limit":
+        """Returns a part of this limit, for a keeper of a part of a fleet."""
+        return Limit(
+            self.rate * share,
+            self.burst * share,
+            self.first * share,
+            self.alone,
+        )
+
 
 # Limit of an account, given the requests that instances have seen of it.
 LimitOf = Callable[[config_model.ClientAccount, float], Limit]
@@ -163,6 +172,7 @@
         report: Report = Report(),
         asking: str = "",
         second: bool = False,
+        share: float = 1.0,
     ) -> tuple[int, float]:
         """Returns granted tokens, and the wait if there are none.
 
@@ -174,13 +184,15 @@
             asking: Id of the asking instance.
             second: Whether another instance keeps the account, which does
                 not answer at the moment.
+            share: Part of the limit that may be granted here.
         """
         kept = self._accounts.get(account.id)
         if kept is None:
-            first = max(1.0, self._limit_of(account, 0.0).first)
+            first = max(1.0, self._limit_of(account, 0.0).part(share).first)
             kept = _Kept(tokens.Bucket(0.0, first, first, now))
             self._accounts[account.id] = kept
-        limit = self._limit_of(account, kept.note(now, asking, report.seen))
+        seen = kept.note(now, asking, report.seen)
+        limit = self._limit_of(account, seen).part(share)
         bucket = kept.bucket
         idle = now - bucket.updated
         if (bucket.rate, bucket.burst) != (limit.rate, limit.burst):
--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -129,6 +129,8 @@
             know the fleet yet.
         size: Returns how many instances there are, at least.
         limit_of: Returns the limit of an account.
+        settling: Whether this instance has started so lately that it may
+            know a part of the fleet only.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
         isolated: Callable[[], bool] = lambda: False,
         limit_of: keeping.LimitOf = keeping.stated_limit,
         size: Callable[[], int] = lambda: 1,
+        settling: Callable[[], bool] = lambda: False,
     ):
         self.counts: collections.Counter[str] = collections.Counter()
         self._here = here
@@ -150,6 +153,7 @@
         self._accounts = accounts
         self._isolated = isolated
         self._size = size
+        self._settling = settling
         self._limit_of = limit_of
         self._ledger = keeping.Ledger(limit_of)
         self._credits: dict[str, _Credit] = {}
@@ -230,12 +234,7 @@
     def _keeper(self, now: float, account: str) -> str | None:
         """Returns the instance to ask, or None if it does not answer."""
         if account not in self._ranked:
-            live = (
-                info.id
-                for info in self._directory.instances()
-                if info.alive and not info.leaving
-            )
-            self._ranked[account] = keeping.keepers(account, live)
+            self._ranked[account] = keeping.keepers(account, self._live())
         for found in self._ranked[account]:
             if now >= self._silent.get(found, 0.0):
                 return found
@@ -368,6 +367,7 @@
             demand.report(),
             self._here,
             self._is_second(account.id),
+            self._part(),
         )
         self._empty_until[account.id] = now + wait
         return granted, wait
@@ -444,9 +444,28 @@
             ask.report,
             ask.asking,
             self._is_second(account.id),
+            self._part(),
         )
         return _ANSWER.pack(granted, wait)
 
+    def _part(self) -> float:
+        """Returns the part of each rate that this instance may grant.
+
+        Parts of a fleet that have not found each other yet have a keeper
+        each. Together they grant what one would.
+        """
+        if not self._settling():
+            return 1.0
+        return min(1.0, len(self._live()) / max(1, self._size()))
+
+    def _live(self) -> list[str]:
+        """Returns the ids of the instances that may keep accounts."""
+        return [
+            info.id
+            for info in self._directory.instances()
+            if info.alive and not info.leaving
+        ]
+
     def _is_second(self, account: str) -> bool:
         return self._ranked.get(account, [self._here])[0] != self._here
 
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -79,6 +79,9 @@
 # Times after the start at which the state of the fleet is read again from a
 # peer, which may have known little itself the first time.
 JOIN_AGAIN_SECONDS = (3.0, 6.0)
+# Time in which an instance that has started finds the others, if all of them
+# start together.
+SETTLE_SECONDS = 3.0
 
 _log = logs.Log("sidecar")
 
@@ -127,6 +130,7 @@
         )
         self.leaving = False
         self._knows_fleet = False
+        self._started = reactor.seconds()
         # Set by the composition root once the links exist.
         self.is_down: Callable[[str], bool] = lambda _: False
 
@@ -219,6 +223,7 @@
             self._is_isolated,
             self._limit,
             lambda: len(self.gossip.seeds) + 1,
+            self._is_settling,
         )
         self.paths = paths.Paths(self.rng)
         self.picker = picker.Picker(
@@ -301,6 +306,9 @@
         now = self.reactor.seconds()
         return not self._knows_fleet or self.gossip.isolated(now)
 
+    def _is_settling(self) -> bool:
+        return self.reactor.seconds() - self._started < SETTLE_SECONDS
+
     def _limit(
         self, account: config_model.ClientAccount, seen: float
     ) -> keeping.Limit:
