--- a/tests/limits/test_restart.py
+++ b/tests/limits/test_restart.py
@@ -30,10 +30,12 @@
     def __init__(self, fleet, number):
         self.fleet = fleet
         self.id = f"n{number}"
-        self.core = fleet.net.start(self.id, fleet.incarnation, pace=PACE)
+        self.core = fleet.net.start(
+            self.id, fleet.incarnation, number=number, pace=PACE
+        )
         own = self.core.me.gossip_address
-        self.core.seeds = [a for a in fleet.addresses if a != own]
-        fleet.addresses.append(own)
+        self.core.seeds = sorted(fleet.listed - {own})
+        fleet.listed.add(own)
         self.joined = False
         self.started = fleet.net.now
         self.handlers = {}
@@ -108,7 +110,8 @@
         self.net = network.Network(seed)
         self.clock = task.Clock()
         self.account = config_model.ClientAccount("a", rate, burst)
-        self.addresses = []
+        # Addresses in the list of the store, which outlast the processes.
+        self.listed = set()
         self.running = {}
         self.incarnation = 1
         self.admitted = []
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -52,10 +52,23 @@
         self._inboxes: dict[str, list[tuple[bytes, records.Address]]] = {}
 
     def start(
-        self, id: str, incarnation: int = 1, seeds=(), **options
+        self,
+        id: str,
+        incarnation: int = 1,
+        seeds=(),
+        number: int | None = None,
+        **options,
     ) -> gossip.Gossip:
-        """Starts an instance, in place of one with the same id."""
-        gossip_address = address(len(self._names))
+        """Starts an instance, in place of one with the same id.
+
+        Args:
+            id: Id of the instance.
+            incarnation: Incarnation of its process.
+            seeds: Addresses that it asks.
+            number: Number of its address; a new address if it is None.
+            **options: Further arguments of the core.
+        """
+        gossip_address = address(len(self._names) if number is None else number)
         peer_address = gossip_address[0], 7001
         me = records.InstanceRecord(
             id, incarnation, 1, "dar-a", peer_address, gossip_address
