Log where a request stood that ends without an answer

Cause: the line of a request that is cut said 'cancelled' and which targets had refused it, but not whether a copy of it waited for a slot or was at a target.

Change: phase of the exchange and, for each copy, its target, waits, may_run or answers, and its age; 'cicadafront explain' prints them.

--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -79,6 +79,15 @@
         self._ungranted: Any = None
         self._headed = False
 
+    @property
+    def standing(self) -> str:
+        """Target, and whether it may have the request, for the log."""
+        place = "waits" if self.confirms else "may_run"
+        if self._headed:
+            place = "answers"
+        age = self._site.clock.seconds() - self._began
+        return f"{self.target.id} {place} {round(age * 1000)}ms"
+
     def attach(
         self, sink: exchange.RequestSink, request: exchange.OpenRequest
     ) -> None:
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -103,6 +103,11 @@
         copies = self._copies()
         return any(not (copy.done or copy.confirms) for copy in copies)
 
+    @property
+    def standing(self) -> list[str]:
+        """Where each copy of the request stands, for the log."""
+        return [copy.standing for copy in self._copies() if not copy.done]
+
     def _copies(self) -> list[attempt.Attempt]:
         copies = (self._current, self._hedge)
         return [copy for copy in copies if copy is not None]
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -266,6 +266,8 @@
         if self._goes_on():
             self._leave_caller()
             return
+        standing = self._attempts.standing if self._attempts else []
+        self._trace.given_up(self._phase.value, standing)
         self._settle(errors.Executed.NO)
         self._finish()
 
--- a/src/cicadafront/edge/request_trace.py
+++ b/src/cicadafront/edge/request_trace.py
@@ -37,6 +37,8 @@
         self._route = ""
         self._account = ""
         self.asked: list[str] = []
+        self._stood = ""
+        self._standing: list[str] = []
         above = tracing.context_of(head.headers)
         self.continued = above is not None
         self._span = site.tracer.start("entry", above or "", method=head.method)
@@ -76,6 +78,16 @@
             "entry_first_byte", self._seconds(), service=self._service
         )
 
+    def given_up(self, phase: str, standing: list[str]) -> None:
+        """Notes where a request stood that ends without an answer.
+
+        Args:
+            phase: Phase of the exchange.
+            standing: Copies of the request that had not ended.
+        """
+        self._stood = phase
+        self._standing = standing
+
     def ended(self) -> None:
         """Notes that the answer is complete."""
         self._code = OK
@@ -116,6 +128,8 @@
             reason=error.message if error else "",
             seconds=round(self._seconds(), 4),
             asked=self.asked,
+            phase=self._stood,
+            standing=self._standing,
         )
 
     def _seconds(self) -> float:
--- a/src/cicadafront/telemetry/story.py
+++ b/src/cicadafront/telemetry/story.py
@@ -116,7 +116,8 @@
 
 def _names(own: Line, known: list[Line]) -> set[str]:
     """Returns the targets that were asked, and the instances beside them."""
-    targets = {str(step).split(" ")[0] for step in own.fields.get("asked", ())}
+    steps = [*own.fields.get("asked", ()), *own.fields.get("standing", ())]
+    targets = {str(step).split(" ")[0] for step in steps}
     beside = {
         line.instance
         for line in known
@@ -165,8 +166,15 @@
         )
     found.append("steps, in milliseconds after the head:")
     found += [f"  {_step(str(step))}" for step in fields.get("asked", ())]
-    if not fields.get("asked"):
+    standing = fields.get("standing", ())
+    if not (fields.get("asked") or standing):
         found.append("  no target was asked")
+    if fields.get("phase"):
+        found.append(
+            f"it ended without an answer while {fields['phase']}; its copies, "
+            "with their age in milliseconds:"
+        )
+        found += [f"  {_step(str(step))}" for step in standing]
     found.append(
         "beside it, in seconds before (-) or after the end, by each clock:"
     )
--- a/tests/telemetry/test_story.py
+++ b/tests/telemetry/test_story.py
@@ -54,6 +54,19 @@
             causes(failed(), SUSPENDED), ["gate: a target is suspended."]
         )
 
+    def test_target_that_has_not_answered(self):
+        cut = failed(
+            code="cancelled",
+            asked=[],
+            phase="running",
+            standing=["t2 may_run 5000ms"],
+        )
+        known, _ = story.read([cut, SUSPENDED])
+        told = story.told(story.find(known, "r1"))
+        self.assertIn("    5000ms t2 may_run", told)
+        self.assertNotIn("  no target was asked", told)
+        self.assertTrue(any("suspended" in step for step in told))
+
     def test_decisions_about_the_request_but_not_about_others(self):
         refused = "repeats: the retry budget refuses a further arrival."
         reached = "agent: a repeated request reaches a target."
