Refuse requests that a planned stop would cut

Callers saw: in a planned stop a request that was read late was taken and passed on, and its connection was reset at the end of the grace. A request that may run only once had then run, or not, and nobody could tell (LOST).

Cause: only the agent refused work late in a stop. The entry had no notion of the end of the process: a head that was half sent at the signal, or a request behind another one on its connection, went to an agent elsewhere at any time until the cut. A slot that came free, a rate that was granted or a refusal that led to another attempt shortly before the cut did so too.

Evidence: with a stop of 2 s, a head that is completed 0.8 s after the signal (0.5 s after the time for new work) arrived at the target of another instance and was cut:

caller saw ConnectionResetError after 2.0 s; connections at target 1

tests.daemon.test_stop.StopTest.test_late_request_is_not_passed_on failed with the same error before this change.

Change: one decision, shutdown.Schedule.admits, for entry and agent. A request may begin when its own time limit ends before the cut, or when it was read early in the stop and the time in which nearly all answers of its route come fits into what is left. It is asked when the head is read, when the wait for rate, body or record is over, before each further attempt, when an agent takes a request, and when its slot comes free. The refusal is 503 with `instance_leaving`, "not run", a short Retry-After and Connection: close.

Why it works: each way to a target passes one of these places, and a request that passes them ends before the cut unless its target is much slower than usual. Requests read after the first part of the stop are bounded by their own limits alone, so that a slow target cannot have them cut.

--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -1,8 +1,9 @@
 """The agent: runs requests at the targets beside this instance."""
 
+import collections
 from typing import Any
 
-from cicadafront import dialect, errors, model
+from cicadafront import dialect, errors, model, shutdown
 from cicadafront.agent import idle, observer, queue, run, targets
 from cicadafront.peer import exchange
 from cicadafront.telemetry import metrics, tracing
@@ -21,6 +22,8 @@
     Attributes:
         accepting: Whether new exchanges are taken; False late in a planned
             stop.
+        stopping: Planned stop of this instance.
+        counts: Counts what the stop refuses.
     """
 
     def __init__(
@@ -33,8 +36,12 @@
         values: metrics.Metrics | None = None,
         tracer: tracing.Tracer | None = None,
         words: dialect.Dialect = dialect.DEFAULT,
+        stopping: shutdown.Shutdown | None = None,
+        counts: collections.Counter[str] | None = None,
     ):
         self._local = local
+        self.stopping = stopping or shutdown.Shutdown()
+        self.counts = counts if counts is not None else collections.Counter()
         self.slots = slots
         self.watcher = watcher
         self.connector = connector
@@ -51,8 +58,9 @@
     ) -> exchange.RequestSink:
         """Starts an exchange."""
         started = run.Run(self, request, response)
-        if not self.accepting:
-            # What waits in the queue since before the stop still runs.
+        if not (self.accepting and started.fits()):
+            # What waits in the queue since before the stop may still run.
+            self.counts["stop_refused_at_agent"] += 1
             started.refuse(no_new_work(request.target))
             return started
         self.running.add(started)
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -1,11 +1,12 @@
 """One exchange at a target."""
 
+import collections
 import enum
 import itertools
 import random
 from typing import Any, Protocol
 
-from cicadafront import dialect, errors, headers, model
+from cicadafront import dialect, errors, headers, model, shutdown
 from cicadafront.agent import (
     connection,
     idle,
@@ -50,6 +51,8 @@
     metrics: metrics.Metrics
     running: "set[Run]"
     words: dialect.Dialect
+    stopping: shutdown.Shutdown
+    counts: collections.Counter[str]
 
     def place(self, id: str) -> targets.LocalTarget:
         """Returns a target that takes work, or raises a `RequestError`."""
@@ -81,6 +84,7 @@
         self._request = request
         self._response = response
         self._state = _State.QUEUED
+        self._opened = now
         self._deadline = now + request.timeout
         self._entry: queue.Entry | None = None
         self._trace = run_trace.RunTrace(owner.tracer, owner.metrics, request)
@@ -193,6 +197,9 @@
             # The slot came free at the very deadline.
             self._expire()
             return
+        if not self.fits():
+            self.refuse_waiting()
+            return
         try:
             place = self._agent.place(self._request.target)
         except errors.RequestError as error:
@@ -418,6 +425,22 @@
             self._close(observer.Cancelled(), error.code)
             self._response.fail(error, self._load())
 
+    def fits(self) -> bool:
+        """Whether the request can end before a planned stop does."""
+        request = self._request
+        return self._agent.stopping.admits(
+            self._agent.clock.seconds(),
+            self._opened,
+            self._deadline,
+            request.objective or request.timeout,
+        )
+
+    def refuse_waiting(self) -> None:
+        """Refuses a request that its target does not have, for a stop."""
+        if self._state not in (_State.RUNNING, _State.DONE):
+            self._agent.counts["stop_refused_at_agent"] += 1
+            self.refuse(shutdown.refusal())
+
     def _judged(self, outcome: observer.Outcome) -> None:
         """Reports an outcome of what was judged since `_judge`, if any."""
         token, self._token = self._token, None
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, protocol, task
 from twisted.python import failure
 
-from cicadafront import dialect, ports
+from cicadafront import dialect, ports, shutdown
 from cicadafront.agent import agent, observer, queue, targets
 from cicadafront.config import model as config_model
 from cicadafront.daemon import local, options, supervisor
@@ -135,6 +135,7 @@
         self._rng = rng or random.Random()
         self._stopping: defer.Deferred[None] | None = None
         self.counts: collections.Counter[str] = collections.Counter()
+        self._planned = shutdown.Shutdown()
         self._build_peer()
         self._fleet = fleet = build_fleet(self.calls)
         if fleet.tracer is None:
@@ -148,6 +149,8 @@
             fleet.metrics,
             fleet.tracer,
             fleet.words,
+            self._planned,
+            self.counts,
         )
         self._build_edge()
         self._build_metrics()
@@ -205,6 +208,7 @@
             service_here=fleet.service_here,
             repeated_share=fleet.repeated_share,
             rng=self._rng,
+            stopping=self._planned,
         )
         self._forwarder = forward.Forwarder(site)
         self._edge = server.Site(
@@ -326,6 +330,9 @@
     def _drain(self) -> Any:
         settings = self._settings
         began = self._reactor.seconds()
+        self._planned.schedule = shutdown.Schedule(
+            began + settings.leave_seconds, began + settings.stop_seconds
+        )
         supervisor.log("leaving: the fleet is told; running requests end.")
         self._edge.drain()
         self._fleet.announce_leaving()
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -20,7 +20,9 @@
     {"deadline_exceeded", "request_crashes_targets", "cancelled"}
 )
 # Targets that are not asked again for a request, however firmly.
-_SHUT_CODES = frozenset({"target_leaving", "no_target", "target_failed"})
+_SHUT_CODES = frozenset(
+    {"target_leaving", "instance_leaving", "no_target", "target_failed"}
+)
 
 _SERVER_ERROR = 500
 # Pause after all candidates for a second copy refused: slots come free within
@@ -48,6 +50,9 @@
     def body_consumed(self, count: int) -> None:
         """A target took further bytes of the request body."""
 
+    def fits(self) -> bool:
+        """Whether an attempt that begins now can end before a stop does."""
+
     def attempt_said(self, target: str, what: str) -> None:
         """An attempt got an answer, or failed with an error code."""
 
@@ -250,6 +255,8 @@
     def _may_hedge(self) -> bool:
         if self._headed or self._hedge is not None or not self.running:
             return False
+        if not self._parent.fits():
+            return False
         limit = self._order.route.attempts
         return not self._site.asking.free or self._repeats.offered + 1 < limit
 
@@ -404,6 +411,10 @@
             )
 
     def _again(self, error: errors.RequestError) -> None:
+        if not self._parent.fits():
+            # The retry budget may have taken a while to answer.
+            self._parent.answer_failed(error)
+            return
         self._site.counts["retries"] += 1
         self._try(error)
 
@@ -428,6 +439,8 @@
     def _may_retry(self, error: errors.RequestError, offered: int) -> bool:
         if self._headed or error.code in _FINAL_CODES or self._body.dropped:
             return False
+        if not self._parent.fits():
+            return False
         if error.executed is errors.Executed.UNKNOWN and not (
             self._order.route.repeatable and self._body.whole()
         ):
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 from twisted.python import failure
 
-from cicadafront import errors, model, ports
+from cicadafront import errors, model, ports, shutdown
 from cicadafront.edge import (
     attempts,
     caller,
@@ -76,6 +76,8 @@
         self._phase = _Phase.ADMITTING
         self._body = held.HeldBody()
         self._deadline = 0.0
+        # Time at which what has arrived of the request was read.
+        self._read = 0.0
         self._timer: Any = None
         self._attempts: attempts.Attempts | None = None
         self._ticket: ports.Ticket | None = None
@@ -97,7 +99,11 @@
         trace.routed(self._order)
         self._token = token
         timeout = self._order.timeout
-        self._deadline = self._site.clock.seconds() + timeout
+        self._read = self._site.clock.seconds()
+        self._deadline = self._read + timeout
+        if not self.fits():
+            self._refuse_for_stop("stop_refused_late")
+            return
         self._timer = self._site.clock.callLater(timeout, self._expire)
         if self._order.account is None:
             self._admitted(None)
@@ -179,7 +185,14 @@
         if self._phase is not _Phase.DONE:
             self._conclude(_as_request_error(reason))
 
+    def _refuse_for_stop(self, counted: str) -> None:
+        self._site.counts[counted] += 1
+        self._conclude(shutdown.refusal())
+
     def _run(self) -> None:
+        if not self.fits():
+            self._refuse_for_stop("stop_refused_waiting")
+            return
         self._phase = _Phase.RUNNING
         if self._attempts is not None:
             self._attempts.start()
@@ -219,6 +232,16 @@
         """Lets the caller send more of the body."""
         self._caller.consumed(count)
 
+    def fits(self) -> bool:
+        """Whether an attempt that begins now can end before a stop does."""
+        wanted = self._order
+        return self._site.stopping.admits(
+            self._site.clock.seconds(),
+            self._read,
+            self._deadline,
+            wanted.route.objective or wanted.timeout,
+        )
+
     def attempt_said(self, target: str, what: str) -> None:
         """Notes what became of one attempt."""
         self._trace.said(target, what)
@@ -229,6 +252,7 @@
         """Takes a piece of the request body."""
         if self._phase is _Phase.DONE:
             return
+        self._arrived()
         self._body.add(data)
         if self._phase is _Phase.HOLDING:
             self._hold()
@@ -239,12 +263,17 @@
         """Takes the end of the request body."""
         if self._phase is _Phase.DONE:
             return
+        self._arrived()
         self._body.complete = True
         if self._phase is _Phase.HOLDING:
             self._hold()
         elif self._phase is _Phase.RUNNING and self._attempts is not None:
             self._attempts.end()
 
+    def _arrived(self) -> None:
+        if self._phase in (_Phase.ADMITTING, _Phase.HOLDING):
+            self._read = self._site.clock.seconds()
+
     def go(self) -> None:
         """Does nothing: callers confirm nothing."""
 
--- a/src/cicadafront/edge/parts.py
+++ b/src/cicadafront/edge/parts.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from cicadafront import dialect, model, ports
+from cicadafront import dialect, model, ports, shutdown
 from cicadafront.config import model as config_model
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
@@ -43,6 +43,7 @@
         repeated_share: Returns the part of the requests at the target beside
             this entry that another target has had.
         rng: Source of choices.
+        stopping: Planned stop of this instance.
     """
 
     configuration: Callable[[], config_model.Configuration | None]
@@ -74,3 +75,4 @@
     service_here: Callable[[], str] = lambda: ""
     repeated_share: Callable[[], float] = lambda: 0.0
     rng: random.Random = attrs.field(factory=random.Random)
+    stopping: shutdown.Shutdown = attrs.field(factory=shutdown.Shutdown)
--- a/src/cicadafront/errors.py
+++ b/src/cicadafront/errors.py
@@ -136,6 +136,13 @@
     status = 503
 
 
+class InstanceLeavingError(RequestError):
+    """The instance stops before the request could end."""
+
+    code = "instance_leaving"
+    status = 503
+
+
 class TargetBusyError(RequestError):
     """The target has no free slot, and the entry asked for one."""
 
--- /dev/null
+++ b/tests/agent/test_stop.py
@@ -0,0 +1,54 @@
+"""Tests of a planned stop at the agent, on virtual time."""
+
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront import shutdown
+from tests.support import agent
+
+LATE_SECONDS = 2.5
+CUT_SECONDS = 5.2
+
+
+class StopTest(unittest.TestCase):
+    """Guards against work that an agent hands over and then cuts."""
+
+    def setUp(self):
+        self.site = agent.Site(slots=1)
+
+    def stop(self):
+        now = self.site.clock.seconds()
+        self.site.agent.stopping.schedule = shutdown.Schedule(
+            now + LATE_SECONDS, now + CUT_SECONDS
+        )
+
+    def assert_not_run(self, response):
+        self.assertEqual(response.error.executed.value, "no")
+        self.assertEqual(response.error.status, 503)
+
+    @parameterized.expand(
+        [
+            ("fits", 1.0, 30.0, 0.5, True),
+            ("too slow for what is left", 1.0, 30.0, 5.0, False),
+            ("late", 2.6, 30.0, 0.5, False),
+            ("late, its limit ends in time", 2.6, 1.0, 0.5, True),
+        ]
+    )
+    def test_new_request(self, _name, seconds, timeout, objective, taken):
+        self.stop()
+        self.site.clock.advance(seconds)
+        _, response = self.site.open(timeout=timeout, objective=objective)
+        self.assertEqual(len(self.site.connector.made), taken)
+        if not taken:
+            self.assert_not_run(response)
+
+    def test_slot_that_comes_free_too_late(self):
+        first, _ = self.site.open(timeout=30.0, objective=0.5)
+        first.end()
+        _, response = self.site.open(timeout=30.0, objective=0.5)
+        self.stop()
+        self.site.clock.advance(CUT_SECONDS - 0.5)
+        self.site.receive(agent.OK)
+        self.assertEqual(len(self.site.connector.made), 1)
+        self.assert_not_run(response)
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -3,6 +3,7 @@
 import collections
 import http.client
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -15,6 +16,8 @@
 from cicadafront.emulator import processes
 from tests.support import fleet
 
+HEAD = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"
+
 
 class Load:
     """Callers that send requests one after another until told to stop."""
@@ -112,6 +115,41 @@
         self.assertGreater(results[200], 100)
         self.assertEqual(set(results), {200})
 
+    def _open(self, daemon, data):
+        """Opens a connection of a caller and sends bytes."""
+        opened = socket.create_connection(
+            (fleet.HOST, daemon.edge), timeout=fleet.CALL_SECONDS
+        )
+        self.addCleanup(opened.close)
+        opened.sendall(data)
+        return opened
+
+    def _answer(self, opened):
+        answer = http.client.HTTPResponse(opened)
+        answer.begin()
+        return answer
+
+    def _assert_refused(self, opened):
+        """Checks for a refusal that tells that the request did not run."""
+        answer = self._answer(opened)
+        self.assertEqual(answer.getheader("Connection"), "close")
+        self.assertIsNotNone(answer.getheader("Retry-After"))
+        _, _, executed = problem = fleet.problem_of(answer)
+        self.assertEqual((answer.status, executed), (503, "no"), problem)
+
+    def test_late_request_is_not_passed_on(self):
+        entry = self._daemon("a", leave_seconds=0.3, stop_seconds=2.0)
+        other = self._daemon("b")
+        target = self._slow_target(20)
+        fleet.fleet_of([entry, other], {"t": target}, [fleet.route()])
+        late = self._open(entry, HEAD[:20])
+        time.sleep(0.2)
+        entry.terminate()
+        time.sleep(0.8)
+        late.sendall(HEAD[20:] + b"x")
+        self._assert_refused(late)
+        self.assertEqual(target.connections, 0)
+
     def test_limit_is_logged(self):
         daemon = self._daemon("a", leave_seconds=0.1, stop_seconds=0.5)
         target = self._slow_target(20)
--- /dev/null
+++ b/tests/edge/test_stop.py
@@ -0,0 +1,115 @@
+"""Tests of a planned stop at the edge, on virtual time."""
+
+import unittest
+
+import attrs
+from parameterized import parameterized
+
+from cicadafront import errors, shutdown
+from cicadafront.peer import exchange
+from tests.support import memory
+from tests.support.edge import GET, Edge, problem
+
+LATE_SECONDS = 2.5
+CUT_SECONDS = 5.2
+POST = b"POST /once HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+
+
+def configuration(**fields):
+    """Returns a configuration whose routes have further fields."""
+    whole = memory.configuration()
+    routes = {
+        id: attrs.evolve(route, **{"objective": 0.5, **fields})
+        for id, route in whole.routes.items()
+    }
+    return attrs.evolve(whole, routes=routes)
+
+
+class StoppingEdge(Edge):
+    """An edge whose instance can be stopped as planned."""
+
+    def __init__(self, route=None, **fields):
+        self.stopping = shutdown.Shutdown()
+        found = configuration(**(route or {}))
+        super().__init__(
+            stopping=self.stopping, configuration=lambda: found, **fields
+        )
+
+    def stop(self):
+        now = self.clock.seconds()
+        self.stopping.schedule = shutdown.Schedule(
+            now + LATE_SECONDS, now + CUT_SECONDS
+        )
+        self.site.drain()
+
+    @property
+    def counts(self):
+        return self.site.handler._site.counts
+
+
+class LateRequestTest(unittest.TestCase):
+    """Guards against requests that are passed on too late to be answered."""
+
+    def assert_refused(self, data):
+        status, head, fields = problem(data)
+        self.assertEqual((status, fields["executed"]), (503, "no"))
+        self.assertEqual(fields["code"], "instance_leaving")
+        self.assertIn(b"retry-after: ", head)
+        self.assertEqual(head.count(b"connection: close"), 1)
+
+    @parameterized.expand(
+        [
+            ("half a head at the signal", [GET[:9]], GET[9:]),
+            ("accepted and silent at the signal", [], GET),
+            ("body whose head came early", [POST + b"a"], b"b"),
+        ]
+    )
+    def test_read_late(self, _name, early, late):
+        edge = StoppingEdge()
+        edge.receive(*early)
+        edge.stop()
+        edge.clock.advance(LATE_SECONDS + 0.1)
+        self.assert_refused(edge.receive(late))
+        self.assertEqual(edge.opener.opened, [])
+        self.assertTrue(edge.transport.half_closed)
+
+    @parameterized.expand(
+        [
+            ("usual time fits", {}, 1.0, True),
+            ("usual time does not fit", {"objective": 5.0}, 1.0, False),
+            ("limit ends in time", {"timeout": 1.5}, 3.0, True),
+            ("limit ends at the cut", {"timeout": 2.2}, 3.0, False),
+        ]
+    )
+    def test_what_can_end_is_served(self, _name, route, seconds, served):
+        edge = StoppingEdge(route)
+        edge.stop()
+        edge.clock.advance(seconds)
+        edge.receive(GET)
+        self.assertEqual(len(edge.opener.opened), served)
+        self.assertEqual(edge.counts["stop_refused_late"], not served)
+
+    def test_refused_attempt_is_not_followed_by_a_late_one(self):
+        edge = StoppingEdge()
+        edge.receive(GET)
+        edge.stop()
+        edge.clock.advance(CUT_SECONDS - 0.3)
+        response = edge.opener.opened[0][2]
+        response.fail(errors.TargetBusyError("Busy."), exchange.Load())
+        status, _, fields = problem(edge.transport.take())
+        self.assertEqual((status, fields["executed"]), (503, "no"))
+        self.assertEqual(len(edge.opener.opened), 1)
+
+    def test_rate_granted_too_late(self):
+        admission = memory.Admission()
+        admission.hold = True
+        edge = StoppingEdge(admission=admission)
+        edge.receive(
+            b"GET /keyed HTTP/1.1\r\nHost: h\r\n"
+            b"Authorization: Bearer cf_k1_secret\r\n\r\n"
+        )
+        edge.stop()
+        edge.clock.advance(CUT_SECONDS - 0.3)
+        admission.waiting[0].callback(None)
+        self.assert_refused(edge.transport.take())
+        self.assertEqual(edge.opener.opened, [])
