Refuse what still waits before a planned stop cuts it

Callers saw: a request that had no target yet when the grace ended (in the queue beside a target, waiting for a rate, its body or head still arriving) got no answer at all: its connection was reset with the process. Nothing had run, but the caller could not know it.

Cause: a planned stop waited for running requests and then aborted all connections. Nothing looked at requests that no target had.

Evidence: with one slot that is taken and a stop of 2 s, the second request, and a request whose body does not come, ended after 2 s with "ConnectionResetError: Connection reset by peer" in tests.daemon.test_stop.StopTest.test_request_that_waits_is_refused_before_the_cut (both cases failed before this change).

Change: every 0.1 s of a planned stop, entry and agent refuse what waits and can no longer end before the cut by shutdown.Schedule.admits. An agent refuses what waits for a slot or a confirmation, so that the entry asks another target. In the last 0.4 s callers with a part of a head are refused too. What a target has runs on until the cut.

Why it works: the verdict of a request that waits turns at the latest 0.4 s before the cut, or its own time limit ends before; four looks lie in between, and one more is made at the cut, for a process that was paused.

An error answer to an incomplete request had Connection: close twice in a stop; it is written once.

--- a/src/cicadafront/agent/agent.py
+++ b/src/cicadafront/agent/agent.py
@@ -84,6 +84,12 @@
             raise no_new_work(id)
         return found
 
+    def refuse_waiting(self) -> None:
+        """Refuses what waits here and cannot end before a planned stop."""
+        for waiting in list(self.running):
+            if not waiting.fits():
+                waiting.refuse_waiting()
+
     def abandon(self, target: str) -> None:
         """Fails the repeatable requests that an ejected target stalls."""
         for running in list(self.running):
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -15,15 +15,20 @@
 from cicadafront.daemon import local, options, supervisor
 from cicadafront.edge import forward, parts, policies, server
 from cicadafront.peer import codec, exchange, link, pool
+from cicadafront.telemetry import logs, tracing
 from cicadafront.telemetry import metrics as metrics_module
-from cicadafront.telemetry import tracing
 
 IDLE_CHECK_SECONDS = 5.0
+# Interval at which a planned stop refuses what waits; a part of the margin
+# between the last refusal and the cut.
+REFUSE_SECONDS = 0.1
 # Interval at which a planned stop looks whether all work has ended.
 DRAIN_CHECK_SECONDS = 0.02
 # Limit of the hand-over of shards; their state is in memory and small.
 HAND_OVER_SECONDS = 8.0
 
+_log = logs.Log("daemon")
+
 
 @attrs.define
 class Fleet:
@@ -90,6 +95,15 @@
     repeated_share: Callable[[], float] = lambda: 0.0
 
 
+# Counters of requests that a planned stop did not serve.
+_STOP_COUNTS = (
+    "stop_refused_late",
+    "stop_refused_waiting",
+    "stop_refused_at_agent",
+    "stop_cut",
+)
+
+
 FleetBuilder = Callable[[ports.PeerCalls], Fleet]
 
 
@@ -330,12 +344,21 @@
     def _drain(self) -> Any:
         settings = self._settings
         began = self._reactor.seconds()
+        cut = began + settings.stop_seconds
         self._planned.schedule = shutdown.Schedule(
-            began + settings.leave_seconds, began + settings.stop_seconds
+            began + settings.leave_seconds, cut
         )
         supervisor.log("leaving: the fleet is told; running requests end.")
         self._edge.drain()
         self._fleet.announce_leaving()
+        refusing = supervisor.Periodic(
+            "refusal of what waits",
+            self._reactor,
+            REFUSE_SECONDS,
+            self._refuse_waiting,
+            self._rng,
+        )
+        refusing.start()
         # Callers that learn of the stop by the health check still come.
         yield task.deferLater(self._reactor, settings.accept_seconds)
         yield self._edge_port.stop()
@@ -347,13 +370,22 @@
         self.agent.accepting = False
         self.agent.idle.close()
         self._edge.close_idle()
-        yield self._until(began + settings.stop_seconds, self._finished)
-        self._log_cut()
+        yield self._until(cut, self._finished)
+        refusing.stop()
+        self._cut()
         yield self._hand_over()
         yield self._close_links()
         yield self.tree.stop()
         supervisor.log("stopped.")
 
+    def _refuse_waiting(self) -> None:
+        """Refuses what waits for a target and cannot end before the cut."""
+        self._forwarder.refuse_waiting()
+        self.agent.refuse_waiting()
+        schedule = self._planned.schedule
+        if schedule and self._reactor.seconds() > schedule.last_end:
+            self._edge.refuse_partial(shutdown.refusal())
+
     def _finished(self) -> bool:
         busy = any(accepted.busy for accepted in self._peers.links)
         running = self._forwarder.running or self.agent.running
@@ -381,7 +413,10 @@
             "this process is known to have ended."
         )
 
-    def _log_cut(self) -> None:
+    def _cut(self) -> None:
+        """Ends what is left and logs what the stop refused and cut."""
+        # A process that was paused may have missed the last interval.
+        self._refuse_waiting()
         left = {
             "exchanges of callers": len(self._forwarder.running),
             "exchanges at targets": len(self.agent.running),
@@ -390,6 +425,11 @@
         for name, count in left.items():
             if count:
                 supervisor.log(f"the time limit cuts {count} {name}.")
+        self.counts["stop_cut"] += len(self._forwarder.running)
+        _log.info(
+            "what the planned stop refused and cut.",
+            **{name: self.counts[name] for name in _STOP_COUNTS},
+        )
         for connection in list(self._edge.connections):
             connection.abort()
 
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -49,6 +49,11 @@
         for exchange_ in list(self.running):
             exchange_.check_key()
 
+    def refuse_waiting(self) -> None:
+        """Refuses what no target has and what cannot end before a stop."""
+        for exchange_ in list(self.running):
+            exchange_.refuse_waiting()
+
 
 class _Phase(enum.Enum):
     ADMITTING = "admitting"
@@ -185,6 +190,16 @@
         if self._phase is not _Phase.DONE:
             self._conclude(_as_request_error(reason))
 
+    def refuse_waiting(self) -> None:
+        """Refuses a request that still waits, unless it can end in time."""
+        if self._phase is _Phase.DONE or self._handed_over():
+            return
+        if self._phase is _Phase.HOLDING:
+            # More of its body has to arrive, at the present time or later.
+            self._read = self._site.clock.seconds()
+        if not self.fits():
+            self._refuse_for_stop("stop_refused_waiting")
+
     def _refuse_for_stop(self, counted: str) -> None:
         self._site.counts[counted] += 1
         self._conclude(shutdown.refusal())
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -69,6 +69,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def refuse_partial(self, error: errors.RequestError) -> None:
+        """Answers callers that have sent a part of a head."""
+        for connection in list(self.connections):
+            connection.refuse_partial(error)
+
     def close_withdrawn(self, valid: Callable[[str], bool]) -> None:
         """Closes idle connections whose last key is no longer valid."""
         for connection in list(self.connections):
@@ -242,6 +247,11 @@
             )
         )
 
+    def refuse_partial(self, error: errors.RequestError) -> None:
+        """Answers a caller that has sent a part of a head."""
+        if not (self._closing or self._idle or self._answer):
+            self.answer_error(error)
+
     def _cancel(self) -> None:
         request, self._request = self._request, None
         if self._answer is not None:
@@ -303,7 +313,8 @@
         self._disarm()
         self._settle()
         head, body = problem.answer(error, self._site.words.short_waits)
-        if self._http.their_state not in (h11.DONE, h11.MUST_CLOSE):
+        unread = self._http.their_state not in (h11.DONE, h11.MUST_CLOSE)
+        if unread and not self._site.draining:
             head = attrs.evolve(head, headers=(*head.headers, _CLOSE))
         self.answer_head(head)
         if self._method != b"HEAD":
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -150,6 +150,22 @@
         self._assert_refused(late)
         self.assertEqual(target.connections, 0)
 
+    @parameterized.expand([("queue", HEAD + b"x"), ("body", HEAD)])
+    def test_request_that_waits_is_refused_before_the_cut(self, _name, data):
+        daemon = self._daemon("a", leave_seconds=0.3, stop_seconds=2.0)
+        target = self._slow_target(20)
+        fleet.fleet_of([daemon], {"t": target}, [fleet.route()], slots=1)
+        running = self._open(daemon, HEAD + b"x")
+        time.sleep(0.2)
+        waiting = self._open(daemon, data)
+        time.sleep(0.2)
+        daemon.terminate()
+        self._assert_refused(waiting)
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            self._answer(running)
+        self.assertEqual(target.connections, 1)
+        self.assertEqual(daemon.wait(), 0)
+
     def test_limit_is_logged(self):
         daemon = self._daemon("a", leave_seconds=0.1, stop_seconds=0.5)
         target = self._slow_target(20)
@@ -164,6 +180,7 @@
         self.assertEqual(daemon.wait(), 0)
         log = "".join(daemon.log)
         self.assertIn("the time limit cuts 1 exchanges of callers", log)
+        self.assertIn('"stop_cut":1', log)
 
 
 class StartTest(unittest.TestCase):
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -6,9 +6,10 @@
 from parameterized import parameterized
 
 from cicadafront import errors, shutdown
+from cicadafront.edge import policies
 from cicadafront.peer import exchange
 from tests.support import memory
-from tests.support.edge import GET, Edge, problem
+from tests.support.edge import GET, KEYED, Edge, problem
 
 LATE_SECONDS = 2.5
 CUT_SECONDS = 5.2
@@ -113,3 +114,58 @@
         admission.waiting[0].callback(None)
         self.assert_refused(edge.transport.take())
         self.assertEqual(edge.opener.opened, [])
+
+
+class WaitingRequestTest(unittest.TestCase):
+    """Guards against callers that wait in silence for the end of a process."""
+
+    def refused(self, edge):
+        """Returns when the caller is refused, in seconds after the stop."""
+        began = edge.clock.seconds()
+        edge.stop()
+        while not edge.transport.value():
+            edge.clock.advance(0.1)
+            edge.site.handler.refuse_waiting()
+            if edge.clock.seconds() > began + CUT_SECONDS:
+                self.fail("the caller is not answered before the cut")
+        status, _, fields = problem(edge.transport.take())
+        self.assertEqual((status, fields["executed"]), (503, "no"))
+        self.assertEqual(edge.counts["stop_refused_waiting"], 1)
+        self.assertEqual(edge.site.handler.running, set())
+        return edge.clock.seconds() - began
+
+    def test_waits_for_a_rate(self):
+        admission = memory.Admission()
+        admission.hold = True
+        edge = StoppingEdge(admission=admission)
+        edge.receive(KEYED)
+        self.assertAlmostEqual(self.refused(edge), 4.4, delta=0.11)
+
+    def test_waits_for_its_body(self):
+        edge = StoppingEdge()
+        edge.receive(POST + b"a")
+        self.assertAlmostEqual(self.refused(edge), LATE_SECONDS, delta=0.11)
+
+    def test_waits_for_a_slot_elsewhere(self):
+        edge = StoppingEdge(asking=policies.Asking(confirm=True))
+        edge.receive(GET)
+        self.assertTrue(edge.request.confirm)
+        self.assertAlmostEqual(self.refused(edge), 4.4, delta=0.11)
+        self.assertTrue(edge.sink.cancelled)
+
+    def test_runs_at_a_target(self):
+        edge = StoppingEdge()
+        edge.receive(GET)
+        edge.stop()
+        edge.clock.advance(CUT_SECONDS - 0.1)
+        edge.site.handler.refuse_waiting()
+        self.assertIn(b"HTTP/1.1 200", edge.answer(body=b"x"))
+
+    @parameterized.expand([("part of a head", [GET[:9]]), ("silent", [])])
+    def test_part_of_a_head(self, name, pieces):
+        edge = StoppingEdge()
+        edge.receive(*pieces)
+        edge.stop()
+        edge.site.refuse_partial(shutdown.refusal())
+        answer = edge.transport.value()
+        self.assertEqual(answer.startswith(b"HTTP/1.1 503"), bool(pieces), name)
