Answer what has arrived on an idle connection before a stop closes it

Callers saw: around a planned stop a request on a kept connection ended with a closed connection in place of an answer.

Cause: an idle connection was closed although a request was in its socket, which a busy process had not read yet: timers run before sockets are read. The process then read and dropped it.

Change: an idle connection is closed only if its socket holds nothing. The look at a socket is shared with the agent (tcp.peek).

Why it works: what has arrived is read and answered or refused; what had not arrived at the close can have had no effect.

--- a/src/cicadafront/agent/connection.py
+++ b/src/cicadafront/agent/connection.py
@@ -1,6 +1,5 @@
 """One HTTP/1.1 connection to a target."""
 
-import socket
 from typing import Any, Protocol
 
 import h11
@@ -94,12 +93,7 @@
         """
         if self._lost or not self.transport.connected:
             return b""
-        try:
-            return self.transport.getHandle().recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        return tcp.peek(self.transport)
 
     def send_head(self, head: model.RequestHead) -> None:
         """Hands the head of the request to the transport."""
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -370,9 +370,15 @@
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a request runs or is arriving."""
-        if self._answer is None and self._idle:
+        if self._answer is None and self._idle and not self._unread():
             self.close()
 
+    def _unread(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        if not interfaces.ISystemHandle.providedBy(self.transport):
+            return False
+        return bool(tcp.peek(self.transport))
+
     def _arm(self, seconds: float, action: Callable[[], None]) -> None:
         self._disarm()
         self._timer = self._site.clock.callLater(seconds, action)
--- a/src/cicadafront/tcp.py
+++ b/src/cicadafront/tcp.py
@@ -1,5 +1,6 @@
 """TCP connections: connecting and prompt writing."""
 
+import socket
 from typing import Any
 
 from twisted.internet import defer, protocol
@@ -47,6 +48,21 @@
     return factory.failed
 
 
+def peek(transport: Any) -> bytes | None:
+    """Looks at the socket of a connection without reading from it.
+
+    Returns:
+        None while the connection is open and quiet, no bytes if it is
+        closed, and one byte if more have arrived.
+    """
+    try:
+        return transport.getHandle().recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 def flush(transport: Any) -> None:
     """Sends what was written instead of waiting for the reactor's next turn.
 
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -4,11 +4,13 @@
 
 import attrs
 from parameterized import parameterized
+from twisted.internet import interfaces
+from zope import interface
 
 from cicadafront import errors, shutdown
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
-from tests.support import memory
+from tests.support import agent, memory
 from tests.support.edge import GET, KEYED, Edge, problem
 
 LATE_SECONDS = 2.5
@@ -26,6 +28,19 @@
     return attrs.evolve(whole, routes=routes)
 
 
+class SocketTransport(memory.Transport):
+    """A transport whose socket may hold bytes that were not read."""
+
+    def __init__(self, unread):
+        super().__init__()
+        self.socket = agent.Socket()
+        self.socket.unread = unread
+        interface.alsoProvides(self, interfaces.ISystemHandle)
+
+    def getHandle(self):  # noqa: N802
+        return self.socket
+
+
 class StoppingEdge(Edge):
     """An edge whose instance can be stopped as planned."""
 
@@ -169,3 +184,19 @@
         edge.site.refuse_partial(shutdown.refusal())
         answer = edge.transport.value()
         self.assertEqual(answer.startswith(b"HTTP/1.1 503"), bool(pieces), name)
+
+
+class KeptConnectionTest(unittest.TestCase):
+    """Guards against requests that are lost with a kept connection."""
+
+    @parameterized.expand([("quiet", None, True), ("unread", b"G", False)])
+    def test_request_in_the_socket(self, _name, unread, closed):
+        edge = StoppingEdge(transport=SocketTransport(unread))
+        edge.receive(GET)
+        edge.answer(fields=((b"Content-Length", b"0"),))
+        edge.stop()
+        edge.site.close_idle()
+        self.assertEqual(edge.transport.closed, closed)
+        if not closed:
+            edge.clock.advance(LATE_SECONDS + 0.1)
+            self.assertEqual(problem(edge.receive(GET))[0], 503)
--- a/tests/support/edge.py
+++ b/tests/support/edge.py
@@ -19,13 +19,13 @@
 class Edge:
     """A caller's connection to the edge with the real forwarding logic."""
 
-    def __init__(self, **fields):
+    def __init__(self, transport=None, **fields):
         self.clock = task.Clock()
         self.opener = memory.Opener()
         forwarder = memory.forwarder(self.clock, self.opener, **fields)
         self.site = server.Site(forwarder, self.clock)
         self.connection = server.Connection(self.site)
-        self.transport = memory.Transport()
+        self.transport = transport or memory.Transport()
         self.connection.makeConnection(self.transport)
 
     def receive(self, *pieces):
