Close connections whose last answer began before a planned stop

Callers saw: a connection stayed open in a planned stop until it was reset with the process, and took further requests until then.

Cause: an answer whose head was written before the signal announces no end of its connection. When it ended after the idle connections were closed, nothing closed this one.

Evidence: tests.edge.test_stop.KeptConnectionTest .test_answer_that_began_before_the_stop failed before: False is not true.

Change: once idle connections have been closed, each further one is closed when it becomes idle.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -41,6 +41,7 @@
         clock: Source of timers.
         counts: Counts dropped answers and refused heads.
         draining: Whether connections close after their current answer.
+        closing: Whether connections that run no request are closed.
         connections: Open connections.
         idle_seconds: Time that a connection may wait for its next request.
         head_seconds: Time that a caller may take to send a head.
@@ -53,6 +54,7 @@
     clock: Any
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
     draining: bool = False
+    closing: bool = False
     connections: set["Connection"] = attrs.field(factory=set)
     idle_seconds: float = IDLE_SECONDS
     head_seconds: float = HEAD_SECONDS
@@ -65,7 +67,8 @@
         self.draining = True
 
     def close_idle(self) -> None:
-        """Closes the connections that run no request."""
+        """Closes the connections that run no request, now and later."""
+        self.closing = True
         for connection in list(self.connections):
             connection.close_if_idle()
 
@@ -307,6 +310,9 @@
         self._ahead = 0
         self.transport.resumeProducing()
         self._process()
+        if site.closing:
+            # The answer began before the stop, and announced no end.
+            self.close_if_idle()
 
     def answer_error(self, error: errors.RequestError) -> None:
         """Answers with an error."""
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -7,7 +7,7 @@
 from twisted.internet import interfaces
 from zope import interface
 
-from cicadafront import errors, shutdown
+from cicadafront import errors, model, shutdown
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
 from tests.support import agent, memory
@@ -189,6 +189,16 @@
 class KeptConnectionTest(unittest.TestCase):
     """Guards against requests that are lost with a kept connection."""
 
+    def test_answer_that_began_before_the_stop(self):
+        edge = StoppingEdge()
+        edge.receive(GET)
+        response = edge.opener.opened[-1][2]
+        response.head(model.ResponseHead(200, ()), exchange.Load())
+        edge.stop()
+        edge.site.close_idle()
+        response.end()
+        self.assertTrue(edge.transport.half_closed)
+
     @parameterized.expand([("quiet", None, True), ("unread", b"G", False)])
     def test_request_in_the_socket(self, _name, unread, closed):
         edge = StoppingEdge(transport=SocketTransport(unread))
