Answer pipelined requests in a planned stop

Callers saw: of two requests that were sent one after the other on a connection, the second got no answer in a planned stop.

Cause: it had been read, and was dropped when the answer before it carried Connection: close.

Evidence: tests.edge.test_stop.KeptConnectionTest.test_pipelined_request_is_answered failed before: b'close' unexpectedly found in b'HTTP/1.1 200 OK ...'.

Change: the end of a connection is announced by the last answer to what was read.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -277,13 +277,18 @@
     def answer_head(self, head: model.ResponseHead) -> None:
         """Writes the head of the answer."""
         fields = list(head.headers)
-        if self._site.draining:
+        if self._site.draining and not self._pipelined():
             fields.append(_CLOSE)
         reason = _REASONS.get(head.status, b"")
         self._send(
             h11.Response(status_code=head.status, headers=fields, reason=reason)
         )
 
+    def _pipelined(self) -> bool:
+        """Whether more has arrived after the present request."""
+        whole = self._http.their_state is h11.DONE
+        return whole and bool(self._http.trailing_data[0])
+
     def answer_body(self, data: bytes) -> None:
         """Writes a piece of the answer."""
         self._send(h11.Data(data=data))
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -199,6 +199,21 @@
         response.end()
         self.assertTrue(edge.transport.half_closed)
 
+    def test_pipelined_request_is_answered(self):
+        edge = StoppingEdge()
+        edge.receive(GET + GET)
+        edge.stop()
+        edge.clock.advance(LATE_SECONDS + 0.1)
+        edge.site.close_idle()
+        data = edge.answer(fields=((b"Content-Length", b"0"),))
+        first, _, second = data.partition(b"\r\n\r\n")
+        self.assertTrue(first.startswith(b"HTTP/1.1 200"))
+        self.assertNotIn(b"close", first)
+        status, head, _ = problem(second)
+        self.assertEqual(status, 503)
+        self.assertIn(b"connection: close", head)
+        self.assertTrue(edge.transport.half_closed)
+
     @parameterized.expand([("quiet", None, True), ("unread", b"G", False)])
     def test_request_in_the_socket(self, _name, unread, closed):
         edge = StoppingEdge(transport=SocketTransport(unread))
