Flush whole answers at the end of a planned stop

Callers saw: an answer that was whole, but still on its way to a slow caller, was cut by a reset at the end of the grace.

Cause: every connection was aborted then, whatever it had.

Change: only requests that have no whole answer are broken off. A whole answer is flushed, for at most the time that links have to close.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -420,22 +420,25 @@
         left = {
             "exchanges of callers": len(self._forwarder.running),
             "exchanges at targets": len(self.agent.running),
-            "connections of callers": len(self._edge.connections),
+            "connections of callers": sum(
+                connection.cut() for connection in list(self._edge.connections)
+            ),
         }
         for name, count in left.items():
             if count:
                 supervisor.log(f"the time limit cuts {count} {name}.")
-        self.counts["stop_cut"] += len(self._forwarder.running)
+        self.counts["stop_cut"] += left["exchanges of callers"]
         _log.info(
             "what the planned stop refused and cut.",
             **{name: self.counts[name] for name in _STOP_COUNTS},
         )
-        for connection in list(self._edge.connections):
-            connection.abort()
 
     def _close_links(self) -> "defer.Deferred[Any]":
         for accepted in list(self._peers.links):
             accepted.finish()
         self.calls.close()
         limit = self._reactor.seconds() + self._settings.link_close_seconds
-        return self._until(limit, lambda: not self._peers.links)
+        # Answers that are whole may still be on their way to slow callers.
+        return self._until(
+            limit, lambda: not (self._peers.links or self._edge.connections)
+        )
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -390,6 +390,23 @@
             return False
         return bool(tcp.peek(self.transport))
 
+    def cut(self) -> bool:
+        """Ends the connection with the process.
+
+        A whole answer still reaches the caller; one that is not whole must
+        not look complete.
+
+        Returns:
+            Whether a request was broken off.
+        """
+        if self._answer is None and (self._idle or self._closing):
+            self._closing = True
+            self._disarm()
+            self.transport.loseConnection()
+            return False
+        self.abort()
+        return True
+
     def _arm(self, seconds: float, action: Callable[[], None]) -> None:
         self._disarm()
         self._timer = self._site.clock.callLater(seconds, action)
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -225,3 +225,16 @@
         if not closed:
             edge.clock.advance(LATE_SECONDS + 0.1)
             self.assertEqual(problem(edge.receive(GET))[0], 503)
+
+    @parameterized.expand(
+        [("answered", True, False), ("without an answer", False, True)]
+    )
+    def test_cut(self, _name, answered, aborted):
+        edge = StoppingEdge()
+        edge.receive(GET)
+        edge.stop()
+        if answered:
+            edge.answer(body=b"x")
+        edge.connection.cut()
+        self.assertEqual(edge.transport.aborted, aborted)
+        self.assertTrue(edge.transport.disconnecting)
