Count the grace of a planned stop from the arrival of the signal

Callers saw: a process that was slow to act on SIGTERM still used the whole grace from the moment at which it acted. The platform's SIGKILL came first, and cut requests that would have been refused or finished.

Cause: Twisted's handler only queues the stop; it begins in a later turn of the reactor, and all times counted from there. A second SIGTERM queued the stop again, which the reactor logged as an error with a traceback.

Change: the signal handler, which Python runs between two instructions, notes the time of the first signal and ignores later ones. Late requests and the cut count from it. Callers and peers are still served for the whole time in which they learn of the stop, but not beyond the last answer in time.

Why it works: the noted time is the earliest that the process can know. A process that was paused learns of the signal when it goes on; nothing in it can tell how long it had been waiting.

--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -3,8 +3,10 @@
 import argparse
 import gc
 import pathlib
+import signal
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import reactor as default_reactor
@@ -33,6 +35,27 @@
     return time.clock_gettime(clock)
 
 
+def _watch_signals(daemon: root.Daemon) -> None:
+    """Notes when a signal arrives; the reactor acts on it in a later turn.
+
+    A further signal changes nothing: the reactor would log it as an error.
+    """
+    for number in (signal.SIGINT, signal.SIGTERM):
+        act = signal.getsignal(number)
+        if callable(act):
+            signal.signal(number, _noted(daemon, act))
+
+
+def _noted(
+    daemon: root.Daemon, act: Callable[[int, Any], Any]
+) -> Callable[[int, Any], None]:
+    def handle(number: int, frame: Any) -> None:
+        if daemon.asked_to_stop():
+            act(number, frame)
+
+    return handle
+
+
 def run(daemon: root.Daemon, reactor: Any = default_reactor) -> int:
     """Runs a daemon until a signal stops it; returns the exit status."""
     status = [0]
@@ -49,6 +72,8 @@
         gc.freeze()
 
     def start() -> None:
+        # The reactor has set its own handlers by now.
+        _watch_signals(daemon)
         daemon.start().addCallbacks(started, failed)
 
     reactor.callWhenRunning(start)
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -148,6 +148,8 @@
         self._settings = settings
         self._rng = rng or random.Random()
         self._stopping: defer.Deferred[None] | None = None
+        # Time at which a signal asked for the stop.
+        self._asked: float | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         self._planned = shutdown.Shutdown()
         self._build_peer()
@@ -334,6 +336,17 @@
         """Starts all parts; fails with `StartError`."""
         return self.tree.start()
 
+    def asked_to_stop(self) -> bool:
+        """Notes that a planned stop is due, whose time counts from now.
+
+        Returns:
+            Whether this is the first time.
+        """
+        if self._asked is not None:
+            return False
+        self._asked = self._reactor.seconds()
+        return True
+
     def stop(self) -> "defer.Deferred[None]":
         """Stops gracefully: running exchanges of all roles are finished."""
         if self._stopping is None:
@@ -343,10 +356,10 @@
     @defer.inlineCallbacks
     def _drain(self) -> Any:
         settings = self._settings
-        began = self._reactor.seconds()
-        cut = began + settings.stop_seconds
-        self._planned.schedule = shutdown.Schedule(
-            began + settings.leave_seconds, cut
+        self.asked_to_stop()
+        began = self._asked or 0.0
+        self._planned.schedule = planned = shutdown.Schedule(
+            began + settings.leave_seconds, began + settings.stop_seconds
         )
         supervisor.log("leaving: the fleet is told; running requests end.")
         self._edge.drain()
@@ -360,17 +373,17 @@
         )
         refusing.start()
         # Callers that learn of the stop by the health check still come.
-        yield task.deferLater(self._reactor, settings.accept_seconds)
+        yield self._pause(settings.accept_seconds, planned.last_end)
         yield self._edge_port.stop()
         supervisor.log("leaving: no new connections are accepted.")
         # Peers choose the targets here until they learn of the stop, and
         # callers may have sent a request on a connection that looks idle.
-        left = settings.leave_seconds - settings.accept_seconds
-        yield task.deferLater(self._reactor, max(0.0, left))
+        left = planned.late - self._reactor.seconds()
+        yield self._pause(left, planned.last_end)
         self.agent.accepting = False
         self.agent.idle.close()
         self._edge.close_idle()
-        yield self._until(cut, self._finished)
+        yield self._until(planned.cut, self._finished)
         refusing.stop()
         self._cut()
         yield self._hand_over()
@@ -378,6 +391,11 @@
         yield self.tree.stop()
         supervisor.log("stopped.")
 
+    def _pause(self, seconds: float, end: float) -> "defer.Deferred[None]":
+        """Waits for some time, but not beyond a moment."""
+        most = end - self._reactor.seconds()
+        return task.deferLater(self._reactor, max(0.0, min(seconds, most)))
+
     def _refuse_waiting(self) -> None:
         """Refuses what waits for a target and cannot end before the cut."""
         self._forwarder.refuse_waiting()
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -166,6 +166,34 @@
         self.assertEqual(target.connections, 1)
         self.assertEqual(daemon.wait(), 0)
 
+    def test_grace_counts_from_the_signal(self):
+        daemon = self._daemon("a", leave_seconds=0.3, stop_seconds=2.0)
+        target = self._slow_target(20)
+        fleet.fleet_of([daemon], {"t": target}, [fleet.route()])
+        running = self._open(daemon, HEAD + b"x")
+        time.sleep(0.2)
+        daemon.send(do="block", seconds=1.5)
+        time.sleep(0.2)
+        daemon.terminate()
+        signalled = time.monotonic()
+        with self.assertRaises((http.client.HTTPException, OSError)):
+            self._answer(running)
+        # The process acts on the signal 1.3 s late.
+        self.assertLess(time.monotonic() - signalled, 2.0 + 0.5)
+
+    def test_second_signal_cuts_nothing(self):
+        daemon = self._daemon("a", leave_seconds=0.3, stop_seconds=10.0)
+        target = self._slow_target(1.5)
+        routes = [fleet.route(timeout=5.0)]
+        fleet.fleet_of([daemon], {"t": target}, routes)
+        running = self._open(daemon, HEAD + b"x")
+        for _ in range(3):
+            time.sleep(0.2)
+            daemon.terminate()
+        self.assertEqual(self._answer(running).status, 200)
+        self.assertEqual(daemon.wait(), 0)
+        self.assertNotIn("Traceback", "".join(daemon.log))
+
     def test_limit_is_logged(self):
         daemon = self._daemon("a", leave_seconds=0.1, stop_seconds=0.5)
         target = self._slow_target(20)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -51,9 +51,13 @@
         for line in self.process.stderr:
             self.log.append(line)
 
-    def command(self, **command: Any) -> dict[str, Any]:
+    def send(self, **command: Any) -> None:
+        """Sends a command and leaves its answer unread."""
         self.process.stdin.write(json.dumps(command) + "\n")
         self.process.stdin.flush()
+
+    def command(self, **command: Any) -> dict[str, Any]:
+        self.send(**command)
         return json.loads(self.process.stdout.readline())
 
     def counts(self) -> dict[str, int]:
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -2,12 +2,13 @@
 
 The options come as JSON on the command line. Each line on standard input is a
 JSON command: `configure` sets the fleet, `leave` marks a target as leaving,
-`counts` does nothing. The answer to each holds the counters. The operators'
-endpoints serve the metrics and traces.
+`block` keeps the process from its work, `counts` does nothing. The answer to
+each holds the counters. The operators' endpoints serve the metrics and traces.
 """
 
 import json
 import sys
+import time
 from typing import Any
 
 import attrs
@@ -53,6 +54,8 @@
             self._configure(command)
         if command["do"] == "leave":
             self._leave(command["target"])
+        if command["do"] == "block":
+            time.sleep(command["seconds"])
         answer = {"counts": dict(self.daemon.counts)}
         print(json.dumps(answer), flush=True)
 
