Answer a request that has arrived at the idle limit of its connection

Callers saw: a request on a kept connection ended with a closed connection.

Cause, the same as in a planned stop: timers run before sockets are read. A process that is late closes a connection whose request lies in its socket, then reads the request and drops it. The caller cannot tell that from a request that was read in time and lost.

Evidence: tests.edge.test_server.UnreadRequestTest.test_idle_limit_1_unread failed before (AssertionError: True != False, the connection was closed).

Change: the idle limit looks at the socket first, and waits for the head if there is something to read.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -238,6 +238,10 @@
         )
 
     def _slow_head(self) -> None:
+        if self._idle and self._unread():
+            # A busy process acts on timers before it reads its sockets.
+            self._arm(self._site.head_seconds, self._slow_head)
+            return
         if self._idle or not self._http.trailing_data[0]:
             self.close()
             return
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -11,7 +11,7 @@
 from cicadafront import errors, model
 from cicadafront.edge import server
 from cicadafront.peer import exchange
-from tests.support.edge import GET, KEYED, Edge, problem
+from tests.support.edge import GET, KEYED, Edge, SocketTransport, problem
 
 CLOSE_SECONDS = (
     server.HEAD_SECONDS
@@ -33,6 +33,28 @@
         self.assertEqual(edge.transport.half_closed, not valid)
 
 
+class UnreadRequestTest(unittest.TestCase):
+    """Guards against connections that close over a request in their socket."""
+
+    @parameterized.expand([("quiet", None, True), ("unread", b"G", False)])
+    def test_idle_limit(self, _name, unread, closed):
+        edge = Edge(transport=SocketTransport(unread))
+        edge.receive(KEYED)
+        edge.answer(body=b"ok")
+        edge.clock.advance(server.IDLE_SECONDS)
+        self.assertEqual(edge.transport.half_closed, closed)
+        if not closed:
+            edge.receive(KEYED)
+            self.assertIn(b"200", edge.answer(body=b"ok"))
+
+    def test_withdrawn_key(self):
+        edge = Edge(transport=SocketTransport(b"G"))
+        edge.receive(KEYED)
+        edge.answer(body=b"ok")
+        edge.site.close_withdrawn(lambda token: False)
+        self.assertFalse(edge.transport.half_closed)
+
+
 class AnswerTest(unittest.TestCase):
     """Guards against answers that a caller reads with another length."""
 
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -4,14 +4,12 @@
 
 import attrs
 from parameterized import parameterized
-from twisted.internet import interfaces
-from zope import interface
 
 from cicadafront import errors, model, shutdown
 from cicadafront.edge import policies
 from cicadafront.peer import exchange
-from tests.support import agent, memory
-from tests.support.edge import GET, KEYED, Edge, problem
+from tests.support import memory
+from tests.support.edge import GET, KEYED, Edge, SocketTransport, problem
 
 LATE_SECONDS = 2.5
 CUT_SECONDS = 5.2
@@ -28,19 +26,6 @@
     return attrs.evolve(whole, routes=routes)
 
 
-class SocketTransport(memory.Transport):
-    """A transport whose socket may hold bytes that were not read."""
-
-    def __init__(self, unread):
-        super().__init__()
-        self.socket = agent.Socket()
-        self.socket.unread = unread
-        interface.alsoProvides(self, interfaces.ISystemHandle)
-
-    def getHandle(self):  # noqa: N802
-        return self.socket
-
-
 class StoppingEdge(Edge):
     """An edge whose instance can be stopped as planned."""
 
--- a/tests/support/edge.py
+++ b/tests/support/edge.py
@@ -2,12 +2,13 @@
 
 import json
 
-from twisted.internet import task
+from twisted.internet import interfaces, task
+from zope import interface
 
 from cicadafront import model
 from cicadafront.edge import server
 from cicadafront.peer import exchange
-from tests.support import memory
+from tests.support import agent, memory
 
 GET = b"GET /open/x HTTP/1.1\r\nHost: h\r\n\r\n"
 KEYED = (
@@ -16,6 +17,19 @@
 )
 
 
+class SocketTransport(memory.Transport):
+    """A transport whose socket may hold bytes that were not read."""
+
+    def __init__(self, unread):
+        super().__init__()
+        self.socket = agent.Socket()
+        self.socket.unread = unread
+        interface.alsoProvides(self, interfaces.ISystemHandle)
+
+    def getHandle(self):  # noqa: N802
+        return self.socket
+
+
 class Edge:
     """A caller's connection to the edge with the real forwarding logic."""
 
