Take no blank line for a pipelined request; test a late confirmation

Some callers end a request with an extra line break. A planned stop took it for a further request, and did not announce the end of the connection.

The confirmation of an entry that crosses the refusal of an agent in a planned stop is tested: the request does not run.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -291,7 +291,7 @@
     def _pipelined(self) -> bool:
         """Whether more has arrived after the present request."""
         whole = self._http.their_state is h11.DONE
-        return whole and bool(self._http.trailing_data[0])
+        return whole and bool(self._http.trailing_data[0].strip())
 
     def answer_body(self, data: bytes) -> None:
         """Writes a piece of the answer."""
--- a/tests/agent/test_stop.py
+++ b/tests/agent/test_stop.py
@@ -4,13 +4,23 @@
 
 from parameterized import parameterized
 
-from cicadafront import shutdown
-from tests.support import agent
+from cicadafront import model, shutdown
+from cicadafront.peer import exchange
+from tests.support import agent, memory
 
 LATE_SECONDS = 2.5
 CUT_SECONDS = 5.2
 
 
+class Response(memory.Response):
+    """An entry that is asked whether a request may run."""
+
+    asked_back = False
+
+    def granted(self):
+        self.asked_back = True
+
+
 class StopTest(unittest.TestCase):
     """Guards against work that an agent hands over and then cuts."""
 
@@ -68,3 +78,22 @@
         self.assert_not_run(quick)
         self.site.receive(agent.OK)
         self.assertEqual(answered.events[-1], "end")
+
+    def test_confirmation_that_crosses_the_refusal(self):
+        request = exchange.OpenRequest(
+            model.RequestHead("GET", "/x", ()),
+            "",
+            "s",
+            "t",
+            30.0,
+            objective=0.5,
+            confirm=True,
+        )
+        response = Response()
+        opened = self.site.agent.open(request, response)
+        self.assertTrue(response.asked_back)
+        self.site.agent.stopping.schedule = shutdown.Schedule(0.0, 0.1)
+        self.site.agent.refuse_waiting()
+        opened.go()
+        self.assert_not_run(response)
+        self.assertEqual(self.site.connector.made, [])
