Test that a stopping entry answers what its targets have had

36 heads are half sent before the signal and completed every 0.08 s of a stop of 3 s, at an entry whose target works 0.3 s on another instance. The test compares what callers got with what the target saw.

--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -1,6 +1,7 @@
 """Planned stops and failed starts of daemon processes."""
 
 import collections
+import contextlib
 import http.client
 import pathlib
 import socket
@@ -150,6 +151,47 @@
         self._assert_refused(late)
         self.assertEqual(target.connections, 0)
 
+    def test_what_is_passed_on_is_answered(self):
+        entry = self._daemon(
+            "a", accept_seconds=1.5, leave_seconds=1.5, stop_seconds=3.0
+        )
+        other = self._daemon("b")
+        seen = set()
+
+        def script(connection):
+            while first := fleet.read_head(connection)[0]:
+                seen.add(first.split()[1])
+                time.sleep(0.3)
+                connection.sendall(
+                    b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                )
+
+        target = fleet.Target(script)
+        self.addCleanup(target.close)
+        routes = [fleet.route(objective=0.5)]
+        fleet.fleet_of([entry, other], {"t": target}, routes, slots=64)
+        paths = [f"/{number}" for number in range(36)]
+        heads = [b"POST %s HTTP/1.1\r\n" % path.encode() for path in paths]
+        callers = [self._open(entry, head) for head in heads]
+        time.sleep(0.3)
+        entry.terminate()
+        for caller in callers:
+            with contextlib.suppress(OSError):
+                caller.sendall(b"Host: h\r\nContent-Length: 0\r\n\r\n")
+            time.sleep(0.08)
+        results = collections.Counter()
+        for path, caller in zip(paths, callers, strict=True):
+            status = 0
+            with contextlib.suppress(http.client.HTTPException, OSError):
+                status = self._answer(caller).status
+            results[status, path in seen] += 1
+        # The status, and whether the target saw the request.
+        self.assertLessEqual(
+            set(results), {(200, True), (503, False), (0, False)}, results
+        )
+        self.assertGreater(results[200, True], 10)
+        self.assertGreater(results[503, False], 5)
+
     @parameterized.expand([("queue", HEAD + b"x"), ("body", HEAD)])
     def test_request_that_waits_is_refused_before_the_cut(self, _name, data):
         daemon = self._daemon("a", leave_seconds=0.3, stop_seconds=2.0)
