Treat a reset that a failed send hides as the break of an answer

Seen: an answer without a length that the target reset in its body passed as whole: 200, the part, and its end. The caller got a short body framed as complete.

Cause: tcp.flush sends at the end of a request without waiting for the reactor and ignored the result. A send on a connection that was reset fails and clears the error of the socket, so that the next read returns no bytes. The reactor then reports ConnectionDone, which ends a body without a length. It needs a target that begins to answer before the request has ended, and a reset between a turn of the reactor and the send of the request's end.

Evidence: tests.agent.test_reset failed before, on loopback sockets: AssertionError: Lists differ: [200, b'part', 'end'] != [200, b'part', 'short']

Change: flush returns whether the connection is still there; a target connection whose send has failed takes any later close for a break and is not used again.

Why it works: the error is cleared only by a system call that reports it. Reads and writes of the reactor report it to connectionLost; peek and flush are the only calls outside of it, and peek closes the connection. The edge and the links between instances also flush, but treat a clean close like a break.

--- a/src/cicadafront/agent/connection.py
+++ b/src/cicadafront/agent/connection.py
@@ -67,6 +67,7 @@
         self._exchange: Exchange | None = exchange
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
         self._lost = False
+        self._send_failed = False
         self._begin_answer()
 
     def _begin_answer(self) -> None:
@@ -114,7 +115,7 @@
             ending = self._http.send(h11.EndOfMessage())
             if ending:
                 self.transport.write(ending)
-            tcp.flush(self.transport)
+            self._send_failed = not tcp.flush(self.transport)
 
     def abort(self) -> None:
         """Closes the connection at once."""
@@ -154,7 +155,7 @@
         self._lost = True
         if self._exchange is None:
             self._owner.lost(self)
-        elif reason.check(error.ConnectionDone):
+        elif reason.check(error.ConnectionDone) and not self._send_failed:
             self._http.receive_data(b"")
             self._process()
         if self._exchange is not None:
@@ -203,7 +204,8 @@
         mangled = bool(self._http.trailing_data[0])
         done = self._http.our_state is h11.DONE
         done = done and self._http.their_state is h11.DONE
-        reusable = done and not mangled and not self._lost
+        reusable = done and not mangled
+        reusable = reusable and not (self._lost or self._send_failed)
         self._exchange = None
         if not reusable:
             self._lost = True
--- a/src/cicadafront/tcp.py
+++ b/src/cicadafront/tcp.py
@@ -63,16 +63,21 @@
         return b""
 
 
-def flush(transport: Any) -> None:
+def flush(transport: Any) -> bool:
     """Sends what was written instead of waiting for the reactor's next turn.
 
     Twisted sends after all handlers of a turn have run, so that bookkeeping
     after the last byte of a message would delay the message. What the socket
-    does not take, and errors of the socket, are left to the reactor.
+    does not take is left to the reactor.
+
+    Returns:
+        False if the connection is lost. A failed send clears the socket's
+        error, so that the reactor may report a reset as a clean close.
     """
     if (
         isinstance(transport, twisted_tcp.Connection)
         and transport.connected
         and not transport.disconnecting
     ):
-        transport.doWrite()
+        return not isinstance(transport.doWrite(), Exception)
+    return True
