Test answers that a target cuts, at every position

Report: "An upstream stopped in the middle of its answer's head and closed. Clients got a 200 with an empty or short body, framed as whole."

No head passes to the entry before its blank line has arrived: h11 takes no line of a head without it, and what is left at the close of the connection is an error. No proper prefix of a head that ends at its first blank line has one, with folded lines and bare newlines too. A chunked body ends only with the blank line after its trailers. Only a body without a length ends with a clean close, as the protocol has it.

--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -28,7 +28,13 @@
 class Pair:
     """A link from the instance a to the instance b."""
 
-    def __init__(self, version=link.PROTOCOL_VERSION, peer="b", handlers=None):
+    def __init__(
+        self,
+        version=link.PROTOCOL_VERSION,
+        peer="b",
+        handlers=None,
+        opener=None,
+    ):
         self.clock = task.Clock()
         self.judged = []
         self.a = attrs.evolve(
@@ -36,6 +42,8 @@
             judge_path=lambda *judged: self.judged.append(judged),
         )
         self.b = _services(self.clock, "b", version, handlers)
+        if opener is not None:
+            self.b = attrs.evolve(self.b, opener=opener)
         self.client = link.Link(self.a, peer)
         self.server = link.Link(self.b)
         self.silent = False
--- a/tests/support/agent.py
+++ b/tests/support/agent.py
@@ -3,7 +3,7 @@
 from twisted.internet import defer, error, task
 from twisted.python import failure
 
-from cicadafront import model
+from cicadafront import dialect, model
 from cicadafront.agent import agent, queue, targets
 from cicadafront.daemon import local
 from cicadafront.peer import exchange
@@ -76,7 +76,7 @@
 class Site:
     """An agent beside the target `t`."""
 
-    def __init__(self, slots=2):
+    def __init__(self, slots=2, words=dialect.DEFAULT):
         self.clock = task.Clock()
         self.watcher = Watcher()
         self.connector = Connector()
@@ -89,6 +89,7 @@
             self.watcher,
             self.connector,
             self.clock,
+            words=words,
         )
 
     def state(self, state, slots=2):
