Trust a refusal of a target only if it is surely this request's

Report: "A faulty upstream wrote an earlier refusal once more on a kept connection. Clients were told 'not run, try again' for requests that an upstream had run or was running, or such a request ran at a second upstream."

Seen: on a kept connection an answer without an id was taken as the answer to the request that was running, so that a repeated refusal without an id gave 503 (not run) for a read that the target ran. On a new connection a refusal that was followed by the true answer gave "not run" as well: such a payment goes to a second target, or its caller repeats it.

Cause: an answer without an id was attributed by its position on the connection, and a refusal took effect with its head, before the rest of what had arrived was read.

Not possible before either: payments never use a kept connection; a refusal that bears another id was refused as crossed; one that arrives while the connection is idle, or is unread when the request is sent, closes the connection.

Evidence: tests.agent.test_refusals, 36 cases, of which 20 failed before, such as: test_on_a_kept_connection_02_without_an_id: [('target_shed', 'no')] != [('target_failed', 'unknown')] test_on_a_new_connection_6_own_then_the_answer (reads and payments): [('target_shed', 'no')] != [('target_failed', 'unknown')] test_status_after_a_refusal_1_without_an_id: 502 not found in 503

Change: once an answer on a connection bore its id, an answer without one is crossed. Where targets always copy the id, the connection of an answer without it is not kept. A refusal takes effect when it is whole and nothing follows it, in the same read or unread in the socket. In all other cases the target counts as failed, its connection is closed, and whether the request ran is unknown.

Why it works: the id says which request an answer belongs to, and the first answer on a new connection can only be to its one request. Bytes after a refusal contradict it or show that the target writes what it should not. A refusal that a target writes once more for the same id, sent again by its caller, is still trusted on a kept connection: an entry asks a target that refused a request no more for it, and only reads use these connections. A true answer that arrives after a refusal was wholly read is not seen.

--- a/src/cicadafront/agent/connection.py
+++ b/src/cicadafront/agent/connection.py
@@ -56,6 +56,7 @@
     Attributes:
         target: Id of the target.
         source: Flow control of the answer's body.
+        copies_id: Whether an earlier answer bore the id of its request.
     """
 
     transport: Any
@@ -63,6 +64,7 @@
 
     def __init__(self, target: str, owner: Owner, exchange: Exchange):
         self.target = target
+        self.copies_id = False
         self._owner = owner
         self._exchange: Exchange | None = exchange
         self._http = h11.Connection(h11.CLIENT, MAX_HEAD_BYTES)
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -98,6 +98,8 @@
         self._headed = False
         self._head = _NO_HEAD
         self._held: list[bytes] = []
+        self._refusal: model.ResponseHead | None = None
+        self._refusal_left = verify.HELD_BYTES
         self._answered = observer.Completed(0, 0.0)
         self._check = verify.AnswerCheck(
             self._exchange_id(), request.head.method, owner.words
@@ -275,12 +277,16 @@
 
     def answer_head(self, head: model.ResponseHead) -> None:
         """Passes on the head of the answer."""
-        checked = self._check.head(head)
+        found = self._connection
+        identified = found is not None and found.copies_id
+        checked = self._check.head(head, identified)
         if checked is None:
             self.broken("crossed")
             return
         if self._check.not_run(head):
-            self._shed(head)
+            # Bytes that follow it may show that the request ran.
+            self._trace.headed(head.status)
+            self._refusal = head
             return
         if not self._check.genuine(head):
             self.broken("mangled")
@@ -295,7 +301,6 @@
 
     def _shed(self, head: model.ResponseHead) -> None:
         """Ends an exchange that the target has refused to run."""
-        self._trace.headed(head.status)
         self._close(observer.Shed(head.status), errors.TargetShedError.code)
         self._response.fail(
             errors.TargetShedError(
@@ -314,6 +319,11 @@
 
     def answer_body(self, data: bytes) -> None:
         """Passes on a piece of the answer."""
+        if self._refusal is not None:
+            self._refusal_left -= len(data)
+            if self._refusal_left < 0:
+                self.broken("endless")
+            return
         self._check.body(data)
         if self._headed:
             self._response.body(data)
@@ -324,25 +334,43 @@
         """Passes on the end of the answer and frees the slot."""
         if self._state is not _State.RUNNING:
             return
+        if self._refusal is not None:
+            self._end_refusal(self._refusal, mangled)
+            return
         if not self._check.intact():
             self.broken("mangled")
             return
         if not self._headed:
             self._pass_head(self._agent.clock.seconds())
             self._response.body(b"".join(self._held))
-        found, self._connection = self._connection, None
         outcome: observer.Outcome = self._answered
         if mangled:
             self._trace.broken("mangled")
             outcome = observer.Failed("mangled")
-        if reusable and found is not None and self._agent.accepting:
-            limit = self._entry.slots if self._entry is not None else 0
-            self._agent.idle.put(found, limit)
-        elif reusable and found is not None:
-            found.abort()
+        self._keep_connection(reusable)
         self._close(outcome, run_trace.OK)
         self._response.end()
 
+    def _keep_connection(self, reusable: bool) -> None:
+        """Keeps the connection for further requests, or closes it."""
+        found, self._connection = self._connection, None
+        if found is None or not reusable:
+            return
+        if not self._agent.accepting or not self._check.reusable():
+            found.abort()
+            return
+        found.copies_id = found.copies_id or self._check.copied
+        limit = self._entry.slots if self._entry is not None else 0
+        self._agent.idle.put(found, limit)
+
+    def _end_refusal(self, head: model.ResponseHead, mangled: bool) -> None:
+        """Takes a refusal, unless the target has sent more than that."""
+        found = self._connection
+        if mangled or (found is not None and found.peek()):
+            self.broken("mangled")
+        else:
+            self._shed(head)
+
     def broken(self, kind: str) -> None:
         """Ends the exchange because the target failed."""
         if self._state is _State.DONE:
--- a/src/cicadafront/agent/verify.py
+++ b/src/cicadafront/agent/verify.py
@@ -25,6 +25,7 @@
 
     Attributes:
         exchange_id: Value sent with the request.
+        copied: Whether the answer bears the exchange id.
         held: Whether the answer is small enough to be held until its end.
     """
 
@@ -36,16 +37,25 @@
     ):
         self.exchange_id = exchange_id
         self._words = words
+        self.copied = False
         self.held = False
         self._method = method
         self._expected: bytes | None = None
         self._hash = hashlib.sha256()
 
-    def head(self, head: model.ResponseHead) -> model.ResponseHead | None:
-        """Returns the head for the caller, or None for a crossed answer."""
+    def head(
+        self, head: model.ResponseHead, identified: bool = False
+    ) -> model.ResponseHead | None:
+        """Returns the head for the caller, or None for a crossed answer.
+
+        Args:
+            head: Head as the target sent it.
+            identified: Whether an answer without the exchange id is crossed.
+        """
         name = self._words.exchange_id_name
         copied = headers.value_of(head.headers, name)
-        if copied and copied != self.exchange_id:
+        self.copied = bool(copied) and copied == self.exchange_id
+        if not self.copied and (copied or identified):
             return None
         if self._method != "HEAD" and head.status not in _BODILESS:
             self._expected = _digest(head.headers)
@@ -81,6 +91,14 @@
         stated = headers.value_of(head.headers, self._words.not_executed_name)
         return bool(stated) and head.status >= 400
 
+    def reusable(self) -> bool:
+        """Tells whether the connection may carry another answer.
+
+        Where targets always copy the exchange id, one that did not copy it
+        could not be told from a late answer to an earlier request.
+        """
+        return self.copied or not self._words.caller_exchange_id
+
     def body(self, data: bytes) -> None:
         """Takes a piece of the body."""
         if self._expected is not None:
--- /dev/null
+++ b/tests/agent/test_refusals.py
@@ -0,0 +1,267 @@
+"""Tests of the statement of a target that it did not run a request."""
+
+import unittest
+
+from parameterized import parameterized
+from twisted.internet import error
+
+from cicadafront.agent import observer, verify
+from cicadafront.health import suspects
+from cicadafront.platform import words
+from tests.support import edge, memory
+from tests.support.agent import Site
+
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+UNKNOWN = ("target_failed", "unknown")
+NOT_RUN = ("target_shed", "no")
+SHED = observer.Shed(503)
+
+
+def answer(id, status=b"200 OK", fields=b"Cicadafront-Server-Stamp: s\r\n"):
+    """Returns an answer that bears the id, if there is one."""
+    echo = b"Cicadafront-Request-Id: %s\r\n" % id if id else b""
+    length = b"Content-Length: 4\r\n"
+    return (
+        b"HTTP/1.1 " + status + b"\r\n" + echo + fields + length + b"\r\nbody"
+    )
+
+
+def refusal(id, status=b"503 Full"):
+    """Returns the statement that the request was not run."""
+    return answer(id, status, b"Cicadafront-Not-Executed: 1\r\n")
+
+
+def failed(kind):
+    """Returns the outcome of an exchange that the target failed."""
+    return observer.Failed(kind)
+
+
+class RefusalTest(unittest.TestCase):
+    """Guards against 'not run' for requests that ran."""
+
+    def setUp(self):
+        self.site = Site(words=words.DIALECT)
+
+    def open(self, id, **fields):
+        """Opens a request with an id."""
+        field = (b"Cicadafront-Request-Id", id)
+        return self.site.open(fields=(field,), **fields)
+
+    def keep(self):
+        """Leaves a connection on which a request has been answered."""
+        sink, response = self.open(b"a1")
+        sink.end()
+        self.site.receive(answer(b"a1"))
+        self.assertEqual(response.events, [200, b"body", "end"])
+        self.site.watcher.outcomes.clear()
+
+    def check(self, response, events, outcome):
+        self.site.clock.advance(suspects.CRASH_HOLD_SECONDS)
+        self.assertEqual(response.events, events)
+        self.assertEqual(self.site.watcher.outcomes, [outcome])
+        self.assertTrue(self.site.transport.aborted)
+        self.assertEqual(self.site.queue.load("t").slots_in_use, 0)
+
+    @parameterized.expand(
+        [
+            ("of another request", refusal(b"a0"), UNKNOWN, failed("crossed")),
+            ("of the last request", refusal(b"a1"), UNKNOWN, failed("crossed")),
+            ("without an id", refusal(b""), UNKNOWN, failed("crossed")),
+            (
+                "421 without an id",
+                refusal(b"", b"421 Other"),
+                UNKNOWN,
+                failed("crossed"),
+            ),
+            (
+                "after an interim head",
+                CONTINUE + refusal(b""),
+                UNKNOWN,
+                failed("crossed"),
+            ),
+            (
+                "before the answer",
+                refusal(b"a1") + answer(b"a2"),
+                UNKNOWN,
+                failed("crossed"),
+            ),
+            (
+                "without an id before the answer",
+                refusal(b"") + answer(b"a2"),
+                UNKNOWN,
+                failed("crossed"),
+            ),
+            (
+                "after the answer",
+                answer(b"a2") + refusal(b"a1"),
+                None,
+                failed("mangled"),
+            ),
+            (
+                "own, then the answer",
+                refusal(b"a2") + answer(b"a2"),
+                UNKNOWN,
+                failed("mangled"),
+            ),
+            ("own", refusal(b"a2"), NOT_RUN, SHED),
+            ("own, twice", 2 * refusal(b"a2"), UNKNOWN, failed("mangled")),
+            ("answer without an id", answer(b""), UNKNOWN, failed("crossed")),
+            (
+                "failure without an id",
+                answer(b"", b"404 None"),
+                UNKNOWN,
+                failed("crossed"),
+            ),
+        ]
+    )
+    def test_on_a_kept_connection(self, _name, sent, event, outcome):
+        self.keep()
+        sink, response = self.open(b"a2")
+        sink.end()
+        self.assertEqual(len(self.site.connector.made), 1)
+        self.site.receive(sent)
+        events = [event] if event else [200, b"body", "end"]
+        self.check(response, events, outcome)
+
+    @parameterized.expand(
+        [("without an id", refusal(b"")), ("of another", refusal(b"a1"))]
+    )
+    def test_before_the_body_is_sent(self, _name, sent):
+        self.keep()
+        length = (b"Content-Length", b"9")
+        sink, response = self.site.open(
+            method="PUT",
+            fields=((b"Cicadafront-Request-Id", b"a2"), length),
+        )
+        sink.body(b"part")
+        self.site.receive(sent)
+        self.check(response, [UNKNOWN], failed("crossed"))
+
+    @parameterized.expand([("without an id", b""), ("with an id", b"a1")])
+    def test_while_the_connection_is_idle(self, _name, id):
+        self.keep()
+        self.site.receive(refusal(id))
+        self.assertTrue(self.site.transport.aborted)
+        self.open(b"a2")
+        self.assertEqual(len(self.site.connector.made), 2)
+
+    def test_unread_before_the_request_is_sent(self):
+        self.keep()
+        self.site.transport.handle.unread = b"H"
+        self.open(b"a2")
+        self.assertEqual(len(self.site.connector.made), 2)
+        self.assertEqual(self.site.watcher.strays, ["t"])
+
+    @parameterized.expand(
+        [
+            ("own", refusal(b"a1"), NOT_RUN, SHED),
+            ("without an id", refusal(b""), NOT_RUN, SHED),
+            ("after an interim head", CONTINUE + refusal(b""), NOT_RUN, SHED),
+            ("of another request", refusal(b"a0"), UNKNOWN, failed("crossed")),
+            ("twice", 2 * refusal(b"a1"), UNKNOWN, failed("mangled")),
+            (
+                "own, then another's",
+                refusal(b"a1") + refusal(b"a0"),
+                UNKNOWN,
+                failed("mangled"),
+            ),
+            (
+                "own, then the answer",
+                refusal(b"a1") + answer(b"a1"),
+                UNKNOWN,
+                failed("mangled"),
+            ),
+            (
+                "too large",
+                refusal(b"a1").replace(b"Content-Length: 4\r\n", b"")
+                + b"x" * verify.HELD_BYTES,
+                UNKNOWN,
+                failed("endless"),
+            ),
+        ]
+    )
+    def test_on_a_new_connection(self, _name, sent, event, outcome):
+        for repeatable in (True, False):
+            self.setUp()
+            sink, response = self.open(b"a1", repeatable=repeatable)
+            sink.end()
+            self.site.receive(sent)
+            self.check(response, [event], outcome)
+
+    def test_answer_that_is_still_unread(self):
+        sink, response = self.open(b"a1", repeatable=False)
+        sink.end()
+        self.site.transport.handle.unread = b"H"
+        self.site.receive(refusal(b"a1"))
+        self.check(response, [UNKNOWN], failed("mangled"))
+
+    def test_early_refusal_ends_the_connection(self):
+        sink, response = self.open(b"a1", repeatable=False, method="POST")
+        self.site.receive(refusal(b"a1"))
+        self.site.clock.advance(suspects.CRASH_HOLD_SECONDS)
+        self.assertEqual(response.events, [NOT_RUN])
+        self.assertTrue(self.site.transport.aborted)
+
+    @parameterized.expand([(error.ConnectionDone,), (error.ConnectionLost,)])
+    def test_cut_refusal(self, reason):
+        for cut in range(len(refusal(b"a1"))):
+            self.setUp()
+            sink, response = self.open(b"a1", repeatable=False)
+            sink.end()
+            if cut:
+                self.site.receive(refusal(b"a1")[:cut])
+            self.site.lose(reason)
+            self.site.clock.advance(suspects.CRASH_HOLD_SECONDS)
+            self.assertEqual(response.events, [UNKNOWN])
+
+    def test_refusal_that_does_not_end(self):
+        sink, response = self.open(b"a1", repeatable=False)
+        sink.end()
+        self.site.receive(refusal(b"a1")[:-1])
+        self.assertEqual(response.events, [])
+        self.site.clock.advance(5.0)
+        self.assertEqual(response.events, [("deadline_exceeded", "unknown")])
+
+    def test_connection_of_an_answer_without_an_id_is_not_kept(self):
+        sink, response = self.open(b"a1")
+        sink.end()
+        self.site.receive(answer(b""))
+        self.assertEqual(response.events, [200, b"body", "end"])
+        self.assertTrue(self.site.transport.aborted)
+        self.open(b"a2")
+        self.assertEqual(len(self.site.connector.made), 2)
+
+
+class ThroughTheEntryTest(unittest.TestCase):
+    """Guards against callers that repeat a request that may have run."""
+
+    @parameterized.expand(
+        [
+            ("of another request", refusal(b"a0"), b" 502 "),
+            ("without an id", refusal(b""), b" 502 "),
+            ("own", refusal(b"a2"), b" 503 "),
+            ("own, then the answer", refusal(b"a2") + answer(b"a2"), b" 502 "),
+        ]
+    )
+    def test_status_after_a_refusal(self, _name, sent, status):
+        site = Site(words=words.DIALECT)
+        caller = edge.Edge(
+            open_at=lambda _, request, sink: site.agent.open(request, sink),
+            targets=[memory.target("t")],
+            words=words.DIALECT,
+        )
+        caller.site.words = words.DIALECT
+        got = b""
+        for id, answered in ((b"a1", answer(b"a1")), (b"a2", sent)):
+            caller.receive(
+                b"GET /open/x HTTP/1.1\r\nHost: h\r\n"
+                b"Cicadafront-Request-Id: %s\r\n\r\n" % id
+            )
+            site.receive(answered)
+            got = caller.transport.take()
+        self.assertEqual(len(site.connector.made), 1)
+        self.assertIn(status, got.partition(b"\r\n")[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
