Do not pass on refusals that do not state that the request did not run

Seen: a 408, 429 or 503 of a target without the statement (Cicadafront-Not-Executed on the platform) reached the caller as it was. Callers take these for the promise that the request has not run, and send payments again.

The platform's page: "No other response states this". Targets there answer a failed run with 500 or 504, so that no such answer is known from a run; it needs a faulty target.

Change: such an answer counts as a failure of the target ("unstated"), and whether the request ran is unknown. Other statuses pass on unchanged, and in the present interface, which has no such statement, all do.

Why it works: the status that the caller gets (502) promises nothing.

--- a/src/cicadafront/agent/observer.py
+++ b/src/cicadafront/agent/observer.py
@@ -28,8 +28,9 @@
         kind: `refused` (no connection), `closed` (no answer), `short` (the
             body ended early), `mangled` (no valid answer, bytes beyond, or a
             wrong digest), `endless` (no end of the answer in time, or beyond
-            any size), `crossed` (answer to another request) or `stalled`
-            (given up because the target is ejected).
+            any size), `crossed` (answer to another request), `unstated` (a
+            refusal that does not state that the request did not run) or
+            `stalled` (given up because the target is ejected).
     """
 
     kind: str
--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -34,6 +34,7 @@
     "mangled": "sent bytes that are no valid answer",
     "endless": "sends an answer without end",
     "crossed": "answered another request",
+    "unstated": "refused the request without stating that it did not run",
     "stalled": "stalls and is ejected",
 }
 
@@ -288,6 +289,9 @@
             self._trace.headed(head.status)
             self._refusal = head
             return
+        if self._check.unstated(head):
+            self.broken("unstated")
+            return
         if not self._check.genuine(head):
             self.broken("mangled")
             return
--- a/src/cicadafront/agent/verify.py
+++ b/src/cicadafront/agent/verify.py
@@ -18,6 +18,14 @@
 _SHA256 = re.compile(rb"(?:^|[,\s])sha-256=:([A-Za-z0-9+/=]+):")
 # Answers without a body, whatever their fields say.
 _BODILESS = frozenset({204, 304})
+# Callers take these for the promise that the request has not run.
+_PROMISES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 
 
 class AnswerCheck:
@@ -91,6 +99,10 @@
         stated = headers.value_of(head.headers, self._words.not_executed_name)
         return bool(stated) and head.status >= 400
 
+    def unstated(self, head: model.ResponseHead) -> bool:
+        """Tells whether the status promises what the target does not state."""
+        return bool(self._words.not_executed) and head.status in _PROMISES
+
     def reusable(self) -> bool:
         """Tells whether the connection may carry another answer.
 
--- a/src/cicadafront/health/service.py
+++ b/src/cicadafront/health/service.py
@@ -47,6 +47,7 @@
     "mangled": outcomes.FailureKind.MANGLED,
     "endless": outcomes.FailureKind.MANGLED,
     "crossed": outcomes.FailureKind.CROSSED,
+    "unstated": outcomes.FailureKind.MANGLED,
     "stalled": outcomes.FailureKind.TIMEOUT,
 }
 
--- a/tests/agent/test_refusals.py
+++ b/tests/agent/test_refusals.py
@@ -188,6 +188,26 @@
             self.site.receive(sent)
             self.check(response, [event], outcome)
 
+    @parameterized.expand(
+        [
+            (b"408 Timeout", False),
+            (b"429 Many", False),
+            (b"503 Full", False),
+            (b"400 Bad", True),
+            (b"404 None", True),
+            (b"500 Failed", True),
+            (b"504 Late", True),
+        ]
+    )
+    def test_status_without_the_statement(self, status, passes):
+        sink, response = self.open(b"a1", repeatable=False)
+        sink.end()
+        self.site.receive(answer(b"a1", status))
+        if passes:
+            self.assertEqual(response.events[0], int(status[:3]))
+        else:
+            self.check(response, [UNKNOWN], failed("unstated"))
+
     def test_answer_that_is_still_unread(self):
         sink, response = self.open(b"a1", repeatable=False)
         sink.end()
@@ -241,6 +261,7 @@
             ("without an id", refusal(b""), b" 502 "),
             ("own", refusal(b"a2"), b" 503 "),
             ("own, then the answer", refusal(b"a2") + answer(b"a2"), b" 502 "),
+            ("not stated", answer(b"a2", b"503 Full"), b" 502 "),
         ]
     )
     def test_status_after_a_refusal(self, _name, sent, status):
