Do not take an earlier answer of the store for that to a later call

Seen: on a kept connection whatever came after the request was taken as its answer. A repeated 412 or 404 made a write fail for good ("changed by someone else", "the lease has ended") that the store carried out, and the item of an earlier read was taken for the result of a write. So was the first of two answers in one packet.

Change: only reads use kept connections, and a connection is kept only after a success. A call that gets more than one answer fails as unknown, as does a read of a key that gets another item.

Why it works: the first answer on a new connection can only be to its one call. Writes are rare (a lease, an entry, a renewal every 20 s), so that their connections cost one round trip each. Peeking at kept connections stays.

--- a/src/cicadafront/platform/http.py
+++ b/src/cicadafront/platform/http.py
@@ -66,7 +66,17 @@
     def answer_end(self, reusable: bool, mangled: bool) -> None:
         if not reusable:
             self.connection = None
-        self._finish(Reply(self._status, b"".join(self._pieces)))
+        if self.done.called:
+            return
+        if mangled:
+            self.done.errback(
+                errors.StoreUnavailableError(
+                    "The store sent more than one answer to a call; a write "
+                    "may have taken effect."
+                )
+            )
+            return
+        self.done.callback(Reply(self._status, b"".join(self._pieces)))
 
     def broken(self, kind: str) -> None:
         self.connection = None
@@ -81,16 +91,15 @@
     def body_consumed(self, count: int) -> None:
         pass
 
-    def _finish(self, reply: Reply) -> None:
-        if not self.done.called:
-            self.done.callback(reply)
-
 
 class Client:
     """Sends calls to one address and keeps idle connections.
 
     A call is never repeated: a lost answer may follow a write that took
-    effect.
+    effect. Answers bear nothing that names their call, so that a late one, or
+    one that is sent twice, could be taken for the answer to the next call.
+    Writes therefore get a connection of their own, and no connection is kept
+    after a refusal.
     """
 
     def __init__(self, reactor: Any, address: tuple[str, int]):
@@ -118,7 +127,7 @@
         if body or method == "POST":
             fields.append((b"Content-Length", b"%d" % len(body)))
         call = _Call(model.RequestHead(method, path, tuple(fields)), body)
-        self._start(call, seconds)
+        self._start(call, seconds, reuse=method == "GET")
         call.done.addTimeout(seconds, self._reactor, _timed_out)
         call.done.addBoth(self._ended, call)
         return call.done
@@ -128,8 +137,8 @@
         while self._idle:
             self._idle.popleft().abort()
 
-    def _start(self, call: _Call, seconds: float) -> None:
-        while self._idle:
+    def _start(self, call: _Call, seconds: float, reuse: bool) -> None:
+        while reuse and self._idle:
             # Longest idle connections may have gone silent; newest first.
             found = self._idle.pop()
             if found.peek() is None:
@@ -144,7 +153,8 @@
         made, call.connection = call.connection, None
         if made is None:
             return result
-        if isinstance(result, Reply) and len(self._idle) < _KEPT:
+        good = isinstance(result, Reply) and 200 <= result.status < 300
+        if good and len(self._idle) < _KEPT:
             self._idle.append(made)
         else:
             made.abort()
--- a/src/cicadafront/platform/store.py
+++ b/src/cicadafront/platform/store.py
@@ -125,8 +125,15 @@
         status, document = await self._call(
             "GET", "/-/kv-key", query={"key": key}, known=(_NOT_FOUND,)
         )
+        if status == _NOT_FOUND:
+            return None
+        if document.get("key") != key:
+            raise errors.StoreUnavailableError(
+                f"The store did not answer with {key}; check that the address "
+                "is the store's."
+            )
         self._note(key, document)
-        return None if status == _NOT_FOUND else _versioned(document)
+        return _versioned(document)
 
     async def _list(self, prefix: str) -> dict[str, ports.Versioned]:
         found: dict[str, ports.Versioned] = {}
