Fail calls of the store whose document is cut or lacks a field

Seen: a head that is cut fails the call at every position, as at targets. An answer without a length that is cut after its head is an empty body: a watch took it for "no news", and all other calls ended with a KeyError, which their callers do not expect, in place of StoreUnavailableError.

Evidence: tests.platform.test_store_answers.CutTest, answers of five calls, with and without a length, cut before every byte.

Change: a success needs a document, except a renewal or the end of a lease without a body, and a document without a wanted field fails the call.

Why it works: no proper prefix of a JSON object is one.

--- a/src/cicadafront/platform/store.py
+++ b/src/cicadafront/platform/store.py
@@ -3,8 +3,8 @@
 import base64
 import collections
 import json
-from collections.abc import Sequence
-from typing import Any
+from collections.abc import Coroutine, Sequence
+from typing import Any, TypeVar
 from urllib import parse
 
 from twisted.internet import defer
@@ -19,6 +19,8 @@
 # Longest wait of one watch.
 MOST_WAIT_SECONDS = 30.0
 
+_T = TypeVar("_T")
+
 _OK = 200
 _NOT_FOUND = 404
 _GONE = 410
@@ -45,11 +47,11 @@
 
     def get(self, key: str) -> "defer.Deferred[ports.Versioned | None]":
         """Reads one key."""
-        return defer.ensureDeferred(self._get(key))
+        return _checked(self._get(key))
 
     def list(self, prefix: str) -> "defer.Deferred[dict[str, ports.Versioned]]":
         """Reads all keys with a prefix."""
-        return defer.ensureDeferred(self._list(prefix))
+        return _checked(self._list(prefix))
 
     def put(
         self,
@@ -64,24 +66,24 @@
             "value": base64.b64encode(value).decode(),
             "lease": int(lease or 0),
         }
-        return defer.ensureDeferred(self._change(key, expected, [put], []))
+        return _checked(self._change(key, expected, [put], []))
 
     def delete(
         self, key: str, expected: int | None = None
     ) -> "defer.Deferred[None]":
         """Deletes a key, with `expected` only at that version."""
-        changing = defer.ensureDeferred(self._change(key, expected, [], [key]))
+        changing = _checked(self._change(key, expected, [], [key]))
         return changing.addCallback(lambda _: None)
 
     def watch(
         self, key: str, after: int, timeout: float
     ) -> "defer.Deferred[ports.Versioned | None]":
         """Waits until the version exceeds `after`; None after the timeout."""
-        return defer.ensureDeferred(self._watch(key, after, timeout))
+        return _checked(self._watch(key, after, timeout))
 
     def grant_lease(self, ttl: float) -> "defer.Deferred[str]":
         """Creates a lease and returns its id."""
-        return defer.ensureDeferred(self._grant(ttl))
+        return _checked(self._grant(ttl))
 
     def renew_lease(self, lease: str) -> "defer.Deferred[None]":
         """Renews a lease; fails with `StoreConflictError` once it lapsed."""
@@ -102,8 +104,13 @@
         query: dict[str, Any] | None = None,
         wait: float = 0.0,
         known: tuple[int, ...] = (),
+        bare: bool = False,
     ) -> tuple[int, dict[str, Any]]:
-        """Returns status and document of an answer with a known status."""
+        """Returns status and document of an answer with a known status.
+
+        A success without a body is one only if it may be `bare`: the body of
+        an answer without a length may have been cut.
+        """
         kind = path.split("/")[2]
         body = b"" if content is None else json.dumps(content).encode()
         target = f"{path}?{parse.urlencode(query)}" if query else path
@@ -119,7 +126,7 @@
                 f"The store answered {reply.status} to {method} {path}; "
                 "check the store and its rates."
             )
-        return reply.status, _document(reply)
+        return reply.status, _document(reply, bare)
 
     async def _get(self, key: str) -> ports.Versioned | None:
         status, document = await self._call(
@@ -204,7 +211,9 @@
         return str(document["lease"])
 
     async def _end_or_renew(self, method: str, path: str) -> None:
-        status, _ = await self._call(method, path, known=(_NOT_FOUND,))
+        status, _ = await self._call(
+            method, path, known=(_NOT_FOUND,), bare=True
+        )
         if status == _NOT_FOUND:
             raise errors.StoreConflictError("The lease has ended.")
 
@@ -214,18 +223,36 @@
             self._seen[key] = max(revision, self._seen.get(key, 0))
 
 
-def _document(reply: http.Reply) -> dict[str, Any]:
-    if not reply.body:
+def _checked(reading: Coroutine[Any, Any, _T]) -> "defer.Deferred[_T]":
+    """Runs a call; a document without a wanted field counts as no answer."""
+
+    async def check() -> _T:
+        try:
+            return await reading
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.StoreUnavailableError(
+                "The store sent a document that cannot be read; check that "
+                "the address is the store's."
+            ) from error
+
+    return defer.ensureDeferred(check())
+
+
+def _document(reply: http.Reply, bare: bool = False) -> dict[str, Any]:
+    if not reply.body and (bare or reply.status != _OK):
         return {}
     try:
         document = json.loads(reply.body)
-    except ValueError as error:
-        if reply.status != _OK:
-            return {}
-        raise errors.StoreUnavailableError(
-            "The store sent a document that cannot be read."
-        ) from error
-    return document if isinstance(document, dict) else {}
+    except ValueError:
+        document = None
+    if isinstance(document, dict):
+        return document
+    if reply.status != _OK:
+        return {}
+    raise errors.StoreUnavailableError(
+        "The store sent a document that cannot be read; check that the "
+        "address is the store's."
+    )
 
 
 def _versioned(item: dict[str, Any]) -> ports.Versioned:
--- a/tests/platform/test_store_answers.py
+++ b/tests/platform/test_store_answers.py
@@ -136,5 +136,57 @@
             loop.call(lambda: client.get("k"))
 
 
+CALLS = (
+    ("get", {**ITEM, "store_revision": 9}, lambda it: it.get("k")),
+    ("list", {"items": [ITEM], "has_more": False}, lambda it: it.list("k")),
+    ("put", {"rev": 12}, lambda it: it.put("k", b"v", 4)),
+    (
+        "watch",
+        {"events": [ITEM], "store_revision": 9},
+        lambda it: it.watch("k", 1, 1.0),
+    ),
+    ("grant", {"lease": 7}, lambda it: it.grant_lease(3.0)),
+)
+
+
+class CutTest(StoreAnswersTest):
+    """Guards against a cut answer that is read as a whole document."""
+
+    @parameterized.expand(
+        (f"{name} {'sized' if sized else 'unsized'}", document, sized, call)
+        for name, document, call in CALLS
+        for sized in (True, False)
+    )
+    def test_cut_anywhere(self, _name, document, sized, call):
+        whole = answer(200, document, sized)
+        server = Server(whole, close="loseConnection")
+        client = self.serve(server)
+        loop.call(lambda: call(client))
+        for cut in range(len(whole)):
+            server.first = whole[:cut]
+            with self.assertRaises(errors.StoreUnavailableError):
+                loop.call(lambda: call(client))
+
+    @parameterized.expand([("a list", []), ("no fields", {}), ("null", None)])
+    def test_other_document(self, _name, document):
+        client = self.serve(Server(answer(200, document)))
+        for name, _, call in CALLS:
+            if name == "watch" and document == {}:
+                # It tells of no event.
+                continue
+            with self.assertRaises(errors.StoreUnavailableError):
+                loop.call(lambda made=call: made(client))
+
+    @parameterized.expand([("none", b"", True), ("cut", b'{"ttl', False)])
+    def test_renewal_without_a_length(self, _name, body, good):
+        head = b"HTTP/1.1 200 OK\r\n\r\n"
+        client = self.serve(Server(head + body, close="loseConnection"))
+        if good:
+            loop.call(lambda: client.renew_lease("7"))
+            return
+        with self.assertRaises(errors.StoreUnavailableError):
+            loop.call(lambda: client.renew_lease("7"))
+
+
 if __name__ == "__main__":
     unittest.main()
