Stop acting as owner when the wait for hand-overs ends

What callers saw: nothing so far; found by review of the planned stop. When the 8 s for hand-overs end, a daemon closes its listener. Its deputy takes a refused connection for proof that the process has ended, and claims the shard.

Cause: shards that were not handed over in time stayed held, with the lease or the deputy's promise in force, so this process still acted for them beside the deputy, for at most 4 s. docs/limits.md assumes the contrary: a daemon stops acting before it stops listening.

Evidence: without the change, with the store cut off from all instances,

FAIL: test_nobody_acts_after_the_wait_for_hand_overs self.assertFalse(scene.owner.acts(0)) AssertionError: True is not false

Change: the daemon's time limit cancels the result of `OwnershipService.stop`; the process then acts for no shard any more. This works because all parts ask `acts` before they grant, begin or permit.

--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -50,6 +50,7 @@
         self.schedule = Schedule(rng)
         self.lease = Lease(self.schedule, rng)
         self.stopping = False
+        self._acting = True
         self._rng = rng
         self._live: set[str] = set()
         self._fleet = decisions.Fleet(me, data_centre, unix_offset)
@@ -57,11 +58,17 @@
 
     def acts(self, now: float, number: int) -> int | None:
         """Returns the epoch if this process may act as owner, else None."""
+        if not self._acting:
+            return None
         claim = self.shards[number].claim
         if claim is not None and now < self.authority_end(number):
             return claim.epoch
         return None
 
+    def stop_acting(self) -> None:
+        """Acts for no shard from now on; the process is about to end."""
+        self._acting = False
+
     def idle(self) -> bool:
         """Tells whether no shard without owner waits for this process."""
         for state in self.shards:
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -93,11 +93,19 @@
         self._timer.callLater(self._rng.uniform(0, TICK_SECONDS), self._tick)
 
     def stop(self) -> "defer.Deferred[None]":
-        """Hands over or releases all shards; fires once none is held."""
+        """Hands over or releases all shards; fires once none is held.
+
+        If the result is cancelled, this process acts for none of them any
+        more, so that its listener may close.
+        """
         self.core.stopping = True
-        stopped = self._stopped = defer.Deferred()
+        stopped = self._stopped = defer.Deferred(self._give_up)
         return stopped
 
+    def _give_up(self, _stopped: "defer.Deferred[None]") -> None:
+        self._stopped = None
+        self.core.stop_acting()
+
     def acts(self, shard: int) -> int | None:
         """Returns the epoch if this instance may act as owner now."""
         return self.core.acts(self._timer.seconds(), shard)
--- a/tests/limits/test_stop.py
+++ b/tests/limits/test_stop.py
@@ -100,6 +100,25 @@
         self.assertEqual(watched.errors, [("k", "outcome_unknown")])
         self.assertEqual(len(watched.runs), 2)
 
+    def test_nobody_acts_after_the_wait_for_hand_overs(self):
+        """A closed listener proves to the deputy that the owner has ended."""
+        for seed in range(SEEDS):
+            scene = Scene(seed)
+            scene.cut_from_store(*scene.fleet.nodes.values())
+            scene.watched.advance(3)
+            process = scene.owner.process
+            stopped, ended = scene.owner.limits.stop(), []
+            stopped.addTimeout(HAND_OVER_SECONDS, process)
+            stopped.addErrback(ended.append)
+            scene.watched.advance(HAND_OVER_SECONDS - 1)
+            self.assertTrue(scene.owner.acts(0))
+            scene.watched.advance(2)
+            self.assertEqual(len(ended), 1)
+            self.assertFalse(scene.owner.acts(0))
+            scene.fleet.heal()
+            scene.watched.advance(4)
+            self.assertFalse(scene.owner.acts(0))
+
 
 class AllShardsTest(unittest.TestCase):
     """Guards against releases of 256 shards that outlast the daemon's wait."""
