Hand over four shards at a time in a planned stop, those in use first

Cause: a stopping owner froze all of its shards in one tick and sent each to its new owner, so 95 writes reached the store in the same moment, each on a connection of its own. A store whose process is not scheduled for a moment has 50 of them in its listen queue; the others are dropped, and TCP tries them again after 1 s. The write has then failed at its limit of 1 s and is sent again after a pause that each failed write has doubled, up to 5 s. After 3 s the hand-over has failed, the shard is released, and its next owner starts with no tokens and 2.05 s later, while a request waits 1 s for credit.

Change: limits/departures.py lets 4 hand-overs run at a time and starts with the shards that served an account last. The owner acts for the others until their turn comes. The next one starts as soon as one has ended, not at the next tick.

Why it works: a shard has nobody who grants credit only during its own hand-over, which waits for at most 3 other writes of this stop, and the store never gets more than 4 connections from it.

--- a/src/cicadafront/emulator/virtual_store.py
+++ b/src/cicadafront/emulator/virtual_store.py
@@ -1,6 +1,7 @@
 """Stand-in for the store on the virtual clock of `emulator.virtual`."""
 
 import itertools
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -10,6 +11,10 @@
 from cicadafront import errors, ports
 from cicadafront.emulator.virtual import STORE, Process, World
 
+WRITES = ("put", "delete", "grant", "renew", "revoke")
+# Time after which TCP sends the first packet of a connection again.
+CONNECT_RETRY_SECONDS = 1.0
+
 
 @attrs.define
 class _Item:
@@ -25,6 +30,12 @@
         up: Whether it answers.
         calls: Number of calls that took effect.
         no_renewal: Leases whose renewals are refused.
+        write_seconds: Shortest and longest time that a write takes; writes
+            do not wait for each other.
+        writes_per_second: Writes that are served in a second, one after the
+            other.
+        most_waiting: Writes that may wait to be served, as in the listen
+            queue of a server; a further one tries again later.
     """
 
     def __init__(self, world: World):
@@ -33,9 +44,26 @@
         self.items: dict[str, _Item] = {}
         self.leases: dict[str, tuple[float, float]] = {}
         self.no_renewal: set[str] = set()
+        self.write_seconds = (0.0, 0.0)
+        self.writes_per_second = math.inf
+        self.most_waiting = math.inf
+        self._free_at = 0.0
         self._world = world
         self._ids = itertools.count(1)
 
+    def delay(self, kind: str) -> float:
+        """Returns the seconds until a call that arrives now takes effect."""
+        if kind not in WRITES:
+            return 0.0
+        now = self._world.clock.seconds()
+        self._free_at = max(now, self._free_at)
+        if (self._free_at - now) * self.writes_per_second > self.most_waiting:
+            return CONNECT_RETRY_SECONDS
+        self._free_at += 1 / self.writes_per_second
+        shortest, longest = self.write_seconds
+        alone = self._world.rng.uniform(shortest, longest) if longest else 0.0
+        return self._free_at - now + alone
+
     def expire(self) -> None:
         """Ends lapsed leases and deletes their keys."""
         now = self._world.clock.seconds()
@@ -115,6 +143,13 @@
         def arrive() -> None:
             if not server.up:
                 return
+            delay = server.delay(kind)
+            if delay:
+                world.clock.callLater(delay, take_effect)
+            else:
+                take_effect()
+
+        def take_effect() -> None:
             server.expire()
             server.calls += 1
             method: Callable[[Any], None] = result.callback
--- a/src/cicadafront/health/permit_owner.py
+++ b/src/cicadafront/health/permit_owner.py
@@ -89,6 +89,10 @@
         """Hands nothing over: the successor waits until permits run out."""
         return None
 
+    def last_used(self) -> dict[int, float]:
+        """Returns nothing: permits are not handed over."""
+        return {}
+
     # Calls.
 
     def _serve_permit(self, caller: str, body: bytes) -> bytes:
--- a/src/cicadafront/limits/admission.py
+++ b/src/cicadafront/limits/admission.py
@@ -190,6 +190,14 @@
         self._redirect_waiting(shard)
         return self.ledgers[shard].export(self._timer.seconds())
 
+    def last_used(self) -> dict[int, float]:
+        """Returns when the ledger of each shard was last asked."""
+        return {
+            shard: ledger.last_used
+            for shard, ledger in self.ledgers.items()
+            if ledger.buckets
+        }
+
     def _redirect_waiting(self, shard: int) -> None:
         ledger = self.ledgers.get(shard)
         if ledger is None:
--- a/src/cicadafront/limits/ledger.py
+++ b/src/cicadafront/limits/ledger.py
@@ -169,6 +169,12 @@
         self._serial = itertools.count(1)
         self._wishes = itertools.count(1)
 
+    @property
+    def last_used(self) -> float:
+        """Time at which a holder last asked or reported, in seconds."""
+        times = (bucket.updated for bucket in self.buckets.values())
+        return max(times, default=-math.inf)
+
     def bucket(self, now: float, account: config_model.ClientAccount) -> Bucket:
         """Returns the bucket of an account, up to date."""
         bucket = self.buckets.get(account.id)
--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -6,12 +6,19 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 from cicadafront import ports
-from cicadafront.limits import actions, claims, decisions, shard, shards
+from cicadafront.limits import (
+    actions,
+    claims,
+    decisions,
+    departures,
+    shard,
+    shards,
+)
 from cicadafront.limits.lease import Lease
 from cicadafront.limits.schedule import BACKOFF_SECONDS, Schedule
 from cicadafront.limits.shard import Ask, Kind, Pending, Phase, Shard
@@ -19,7 +26,6 @@
 ASK_SECONDS = 1.0
 LEASE_LIST_SECONDS = 1.0
 READ_ALL_SECONDS = 60.0
-HANDOVER_SECONDS = 5.0
 # Claims in one tick; a fleet that starts would otherwise write all at once.
 CLAIMS_PER_TICK = 8
 # Releases sent by one call; a lone owner of all shards then needs 1.6 s at a
@@ -51,11 +57,21 @@
         self.lease = Lease(self.schedule, rng)
         self.stopping = False
         self._acting = True
+        self._last_used: Mapping[int, float] = {}
         self._rng = rng
         self._live: set[str] = set()
         self._fleet = decisions.Fleet(me, data_centre, unix_offset)
         self._placement = decisions.Placement(self._fleet)
 
+    def stop(self, last_used: Mapping[int, float]) -> None:
+        """Begins a planned stop.
+
+        Args:
+            last_used: Time of the last use of each shard that was used.
+        """
+        self.stopping = True
+        self._last_used = last_used
+
     def acts(self, now: float, number: int) -> int | None:
         """Returns the epoch if this process may act as owner, else None."""
         if not self._acting:
@@ -251,12 +267,30 @@
             if state.pending is not None:
                 result += self._resend(now, state)
             elif state.held:
-                result += self._keep(now, state)
+                if not self.stopping:
+                    result += self._keep(now, state)
             elif claims_left and self._may_claim(now):
                 made = self._consider(now, state)
                 claims_left -= state.pending is not None
                 result += made
-        return result + self._ask_deputies(now)
+        return result + self.departures(now) + self._ask_deputies(now)
+
+    def departures(self, now: float) -> list[actions.Action]:
+        """Returns what is due for a planned stop.
+
+        Call it also when a hand-over ends, so that the next one starts.
+        """
+        if not self.stopping:
+            return []
+        held = [
+            state
+            for state in self.shards
+            if state.held and state.pending is None
+        ]
+        confirmed = self._store_confirmed(now)
+        return departures.due(
+            now, held, self._fleet, confirmed, self._last_used
+        )
 
     def _learn(
         self,
@@ -346,28 +380,16 @@
             return self._thaw(now, state)
         if not self._store_confirmed(now):
             return []
-        if self.stopping or self._placement.misplaced(
-            now, state.number, self.shards
-        ):
+        if self._placement.misplaced(now, state.number, self.shards):
             target = self._fleet.first(state.number, [self.me.id])
             if target is not None:
                 return [actions.HandOver(state.number, target.id)]
-            if self.stopping:
-                return [actions.Release(state.number)]
         assert state.claim is not None and self.lease.id is not None
         write = decisions.update(now, state, self._fleet, self.lease.id)
         return self._write(state, write) if write is not None else []
 
     def _thaw(self, now: float, state: Shard) -> list[actions.Action]:
-        if state.releasing:
-            return []
-        late = now >= state.frozen_at + HANDOVER_SECONDS
-        if self.stopping and (late or state.refused):
-            target = decisions.next_candidate(now, state, self._fleet)
-            if target is not None:
-                return [actions.HandOver(state.number, target.id)]
-            return [actions.Release(state.number)]
-        if not late:
+        if now < state.frozen_at + shard.HANDOVER_SECONDS:
             return []
         if not self._store_confirmed(now):
             return []
--- a/src/cicadafront/limits/records_service.py
+++ b/src/cicadafront/limits/records_service.py
@@ -83,6 +83,7 @@
         self._journaling: dict[str, _Journaling] = {}
         self._callers: list[_Caller] = []
         self._settling: dict[int, tuple[int, int]] = {}
+        self._last_used: dict[int, float] = {}
         ownership.parts.append(self)
         peers.register(outcomes.BEGIN, self._serve_begin)
         peers.register(outcomes.CLOSE, self._serve_close)
@@ -111,6 +112,7 @@
     def lost(self, shard: int) -> None:
         """Drops the records of a shard."""
         self._settling.pop(shard, None)
+        self._last_used.pop(shard, None)
         own = self.owned.pop(shard, None)
         self._redirect(shard)
         if own is not None:
@@ -130,6 +132,10 @@
             "journaled": [each.hex() for each in own.journaled],
         }
 
+    def last_used(self) -> dict[int, float]:
+        """Returns when a record of each shard last began or ended."""
+        return dict(self._last_used)
+
     def _restore(self, own: Records, state: Any, settled: bool) -> None:
         now = self._timer.seconds()
         for data in state["records"]:
@@ -182,6 +188,7 @@
     def _acting(self, shard: int) -> Records | None:
         if self._ownership.acts(shard) is None:
             return None
+        self._last_used[shard] = self._timer.seconds()
         return self.owned.get(shard)
 
     def _serve_begin(self, _caller: str, body: bytes):
--- a/src/cicadafront/limits/service.py
+++ b/src/cicadafront/limits/service.py
@@ -47,6 +47,9 @@
         The shard is frozen: calls that wait are answered with a redirect.
         """
 
+    def last_used(self) -> dict[int, float]:
+        """Returns when each shard last served a client account."""
+
 
 Prober = Callable[[str, int], "defer.Deferred[bool]"]
 
@@ -98,7 +101,11 @@
         If the result is cancelled, this process acts for none of them any
         more, so that its listener may close.
         """
-        self.core.stopping = True
+        last_used: dict[int, float] = {}
+        for part in self.parts:
+            for shard, used in part.last_used().items():
+                last_used[shard] = max(used, last_used.get(shard, used))
+        self.core.stop(last_used)
         stopped = self._stopped = defer.Deferred(self._give_up)
         return stopped
 
@@ -331,6 +338,11 @@
             self.core.handover_failed(shard, to)
         finally:
             self._handing.discard(shard)
+            # Calls that fail at once would otherwise nest.
+            self._timer.callLater(0, self._depart)
+
+    def _depart(self) -> None:
+        self.run(self.core.departures(self._timer.seconds()))
 
     @defer.inlineCallbacks
     def _send_state(self, shard: int, to: str):
--- a/src/cicadafront/limits/shard.py
+++ b/src/cicadafront/limits/shard.py
@@ -17,6 +17,8 @@
 CONFIRMED_SECONDS = 4.0
 # A deputy neither claims nor acts this long after its last promise.
 PROMISE_SECONDS = 5.0
+# A hand-over without an answer has failed after this time.
+HANDOVER_SECONDS = 5.0
 # The deputy is asked once the store's confirmation is this old: a renewal has
 # then failed or is late.
 ASK_AFTER_SECONDS = 2.0
--- a/tests/limits/checks.py
+++ b/tests/limits/checks.py
@@ -133,9 +133,10 @@
 
     def advance(self, seconds: float) -> None:
         """Runs the fleet and checks every event."""
-        self.fleet.advance(seconds, self._check)
+        self.fleet.advance(seconds, self.check)
 
-    def _check(self) -> None:
+    def check(self) -> None:
+        """Raises the first violation up to now."""
         self._owners()
         if self._violations:
             raise self._violations[0]
