Let targets of the soak repeat refusals and cut heads

A target writes an earlier refusal once more while it runs a request or in one piece with its answer, under the earlier id, under this request's, and on a kept connection without an id; or it closes in the middle of the head of its answer. Both come from a draw of their own, so that the other faults of a seed stay. Reads that get 408, 421, 429 or 503 must not have run either; this was checked for payments only (the planted case of a read failed on the old check).

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -152,7 +152,7 @@
             continue
         if call.kind == "pay" and len(runs) > 1:
             yield f"twice: {id} ran at {[run.target for run in runs]}"
-        if call.kind == "pay" and call.status in NOT_RUN:
+        if call.status in NOT_RUN:
             yield f"refused: {id} got {call.status} and ran"
         for run in runs:
             if run.line != line_of(call):
--- a/tests/soak/parties.py
+++ b/tests/soak/parties.py
@@ -20,9 +20,15 @@
 WORK_SECONDS = 0.02
 BEAT_SECONDS = 1.0
 FAULTS = ("stall", "reset", "error", "short", "extra", "shed")
-# Faults that were added later; they come from a draw of their own, so that the
-# faults of a seed stay as they were.
-LATER_FAULTS = ("endless body", "endless head")
+ENDLESS = ("endless body", "endless head")
+CUT_HEAD = "cut head"
+REPEATED_REFUSAL = "repeated refusal"
+# Faults that were added later; each group comes from a draw of its own, so that
+# the faults of a seed stay as they were.
+LATER_FAULTS = {
+    "later": ENDLESS,
+    "heads": (CUT_HEAD, REPEATED_REFUSAL),
+}
 _STALL_SECONDS = 10.0
 # Pace of an answer without end.
 _PIECE = b"A: " + b"x" * 16381 + b"\r\n"
@@ -48,6 +54,7 @@
         id: Id of the present incarnation.
         fault: Fault of its work, empty for none.
         share: Share of the requests that the fault hits.
+        refused: Id of the last request that it refused.
     """
 
     noisy = False
@@ -60,6 +67,7 @@
         self.reactor = reactor
         self.fault = ""
         self.share = 1.0
+        self.refused = "none"
         self.running = 0
         self.draws = random.Random(seed)
         self.incarnation = 0
@@ -118,6 +126,7 @@
         self.target = target
         self.http = h11.Connection(h11.SERVER)
         self.request: h11.Request | None = None
+        self.answered = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self.http.receive_data(data)
@@ -151,6 +160,7 @@
         if target.draws.random() >= target.share:
             fault = ""
         if fault == "shed" or target.running >= 3 * SLOTS:
+            target.refused = id
             self.answer(503, id, "full", {"Cicadafront-Not-Executed": "1"})
             return
         line = f"{request.method.decode()} {request.target.decode()}"
@@ -168,6 +178,8 @@
         seconds = WORK_SECONDS * target.draws.uniform(0.5, 2.0)
         if fault == "stall":
             seconds = _STALL_SECONDS
+        if fault == REPEATED_REFUSAL and target.draws.random() < 0.5:
+            self.refuse_again()
         target.reactor.callLater(seconds, self.finish, run, fault)
 
     def finish(self, run: checks.Run, fault: str) -> None:
@@ -181,26 +193,42 @@
         run.status = 500 if fault == "error" else 200
         stamp = {"Cicadafront-Server-Stamp": checks.stamp_of(run)}
         body = checks.body_of(run)
-        if fault in LATER_FAULTS:
-            head = f"HTTP/1.1 200 OK\r\nCicadafront-Request-Id: {run.id}\r\n"
-            head += f"Cicadafront-Server-Stamp: {checks.stamp_of(run)}\r\n"
+        head = f"HTTP/1.1 200 OK\r\nCicadafront-Request-Id: {run.id}\r\n"
+        head += f"Cicadafront-Server-Stamp: {checks.stamp_of(run)}\r\n"
+        length = f"Content-Length: {len(body)}\r\n"
+        if fault in ENDLESS:
             end = "\r\n" if fault == "endless body" else ""
             self.transport.write((head + end).encode())
             self.pour()
             return
-        if fault == "short":
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n"
-            head += f"Cicadafront-Request-Id: {run.id}\r\n"
-            head += f"Cicadafront-Server-Stamp: {stamp.popitem()[1]}\r\n\r\n"
-            self.transport.write(head.encode() + body[:-3].encode())
+        if fault in ("short", CUT_HEAD):
+            sent = head + length + "\r\n" + body[:-3]
+            if fault == CUT_HEAD:
+                end = self.target.draws.choice(("", length)) + "\r\n"
+                sent = head + end
+                sent = sent[: self.target.draws.randrange(1, len(sent))]
+            self.transport.write(sent.encode())
             self.transport.loseConnection()
             return
+        if fault == REPEATED_REFUSAL:
+            # In one piece with the answer, so that the agent can see both.
+            self.refuse_again(self.target.draws.choice(("", run.id)))
         self.answer(run.status, run.id, body, stamp)
         if fault == "extra":
             self.transport.write(
                 b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx"
             )
 
+    def refuse_again(self, own: str = "") -> None:
+        """Writes an earlier refusal; on a kept connection also without id."""
+        id = f"Cicadafront-Request-Id: {own or self.target.refused}\r\n"
+        if self.answered and not own and self.target.draws.random() < 0.5:
+            id = ""
+        self.transport.write(
+            b"HTTP/1.1 503 Full\r\nCicadafront-Not-Executed: 1\r\n"
+            b"%sContent-Length: 4\r\n\r\nfull" % id.encode()
+        )
+
     def pour(self) -> None:
         """Goes on sending until the connection is closed."""
         if self.transport is not None and self.transport.connected:
@@ -211,6 +239,7 @@
         self, status: int, id: str, body: str, fields: dict[str, str]
     ) -> None:
         """Sends an answer."""
+        self.answered = True
         headers = [
             ("Content-Length", str(len(body))),
             ("Cicadafront-Request-Id", id),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -86,15 +86,17 @@
         how = rng.choice(VARIANTS[kind])
         found.append(Fault(at, kind, place, rng.uniform(*LENGTHS), how))
         at += rng.uniform(*PAUSES)
-    return sorted([*found, *_later(seed, seconds)], key=lambda each: each.at)
+    for group in parties.LATER_FAULTS:
+        found += _later(group, seed, seconds)
+    return sorted(found, key=lambda each: each.at)
 
 
-def _later(seed: int, seconds: float) -> Iterator[Fault]:
+def _later(group: str, seed: int, seconds: float) -> Iterator[Fault]:
     """Yields the faults of kinds that were added after the first seeds."""
-    rng = random.Random(f"later {seed}")
+    rng = random.Random(f"{group} {seed}")
     at = rng.uniform(1.0, 6.0)
     while at < seconds:
-        how = rng.choice(parties.LATER_FAULTS)
+        how = rng.choice(parties.LATER_FAULTS[group])
         place = rng.randrange(INSTANCES)
         yield Fault(at, "target", place, rng.uniform(*LENGTHS), how)
         at += rng.uniform(1.0, 6.0)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,6 +8,7 @@
 from tests.soak import checks, parties, run
 
 CALL = checks.Call("1", "pay", "k", "n0", 10.0, 200, stamp="t.1", body="1 at t")
+READ_REFUSED = attrs.evolve(CALL, id="0", kind="read", status=503, stamp="")
 RUN = checks.Run("1", "POST /pay/1", "t", "n1", "a", False, 10.0, 200)
 
 
@@ -63,7 +64,10 @@
         [
             ("twice", {"runs": [RUN, RUN]}),
             ("refused", {"calls": [attrs.evolve(CALL, status=429, stamp="")]}),
+            ("refused", {**many(1, 0.0, 4.0), "calls": [READ_REFUSED]}),
             ("mixed", {"calls": [attrs.evolve(CALL, stamp="")]}),
+            ("mixed", {"calls": [attrs.evolve(CALL, stamp="", body="")]}),
+            ("mixed", {"calls": [attrs.evolve(CALL, body="")]}),
             ("mixed", {"calls": [attrs.evolve(CALL, stamp="t.2")]}),
             ("mixed", {"calls": [attrs.evolve(CALL, body="1 at")]}),
             ("mixed", {"calls": [attrs.evolve(CALL, status=500)]}),
@@ -121,7 +125,8 @@
         wanted = {
             (kind, how) for kind, hows in run.VARIANTS.items() for how in hows
         }
-        wanted |= {("target", how) for how in parties.LATER_FAULTS}
+        for hows in parties.LATER_FAULTS.values():
+            wanted |= {("target", how) for how in hows}
         self.assertEqual(kinds, wanted)
 
     def test_same_seed_same_plan(self):
