Let the soak stop instances in series, and check that stops lose nothing

The soak had no check for requests that end without an answer, so that neither late requests nor requests that wait at the end of a planned stop could be seen.

Change: planned stops come in series from a draw of their own; a request that a planned stop ends without an answer is reported unless its target was at work in the last sixth of the grace, or an unplanned fault touched its instances.

Evidence: the planted cases of tests.soak.test_checks.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -20,6 +20,14 @@
 REPEAT_SHARE = 0.2
 # Less than the deployments allow: a soak has few instances.
 REPEAT_EXTRA = 10
+# Time from the signal of a planned stop to the end of its process.
+GRACE_SECONDS = 6.0
+# A request that was sent this soon after the signal may be cut in the last
+# sixth of the grace while its target is at work.
+EARLY_SECONDS = 3.0
+CUT_SECONDS = GRACE_SECONDS * 5 / 6
+# A request may cross the close of its connection for this time.
+CROSSING_SECONDS = 0.2
 
 
 @attrs.define
@@ -35,6 +43,8 @@
         status: Status of the answer, 0 if there was none.
         stamp: Proof of the target in the answer.
         body: Body of the answer.
+        ended: Time at which it ended.
+        broken: Whether the connection ended without a whole answer.
     """
 
     id: str
@@ -45,6 +55,8 @@
     status: int = 0
     stamp: str = ""
     body: str = ""
+    ended: float = 0.0
+    broken: bool = False
 
 
 @attrs.define
@@ -86,6 +98,9 @@
         left: Time at which the leaving of a target was acknowledged.
         withdrawn: Time at which the store acknowledged a key's withdrawal.
         disturbed: Spans of disturbance by instance; "" for the store.
+        stopped: Times of the signals of planned stops by instance.
+        unplanned: Spans of unplanned disturbance by instance, those of the
+            target beside it included.
         ended: Processes that ended by themselves, with their status.
         unserved: Instances that did not serve again after all faults.
     """
@@ -100,6 +115,12 @@
     disturbed: dict[str, list[tuple[float, float]]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    stopped: dict[str, list[float]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
+    unplanned: dict[str, list[tuple[float, float]]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
     ended: list[str] = attrs.field(factory=list)
     unserved: list[str] = attrs.field(factory=list)
 
@@ -110,6 +131,14 @@
             time < begin or time > end + STABLE_SECONDS for begin, end in spans
         )
 
+    def calm(self, instances: Iterable[str], begin: float, end: float) -> bool:
+        """Returns whether no unplanned disturbance touched a span."""
+        return not any(
+            first <= end and last >= begin
+            for instance in instances
+            for first, last in self.unplanned.get(instance, ())
+        )
+
 
 def line_of(call: Call) -> str:
     """Returns the method and path of a call."""
@@ -240,4 +269,47 @@
             return
 
 
-CHECKS = (_runs, _answers, _leaving, _rates, _withdrawn, _repeats)
+def _lost(history: History) -> Iterator[str]:
+    arrived = {id for id, _ in history.arrivals}
+    runs = _by_id(history.runs)
+    for call in history.calls.values():
+        for signal in history.stopped.get(call.instance, ()):
+            ended = call.ended - signal
+            if not call.broken or not 0 <= ended <= GRACE_SECONDS + 1.0:
+                continue
+            if call.id in arrived:
+                excused = _cut_at_work(history, call, runs[call.id], signal)
+            else:
+                excused = _never_passed_on(history, call)
+            if not excused:
+                yield (
+                    f"lost: {call.id} was sent {call.sent - signal:.2f} s "
+                    f"after the signal of {call.instance} and cut after "
+                    f"{call.ended - call.sent:.2f} s"
+                )
+
+
+def _cut_at_work(
+    history: History, call: Call, runs: list[Run], signal: float
+) -> bool:
+    """Whether a request that reached a target may end without an answer."""
+    early = call.sent - signal <= EARLY_SECONDS
+    last = call.ended - signal >= CUT_SECONDS
+    if early and last and any(not run.status for run in runs):
+        return True
+    concerned = {call.instance, *(run.instance for run in runs)}
+    return not history.calm(concerned, call.sent - STABLE_SECONDS, call.ended)
+
+
+def _never_passed_on(history: History, call: Call) -> bool:
+    """Whether a request that reached no target may end without an answer.
+
+    An instance that is paused, or a link that is silent, may have it.
+    """
+    if call.ended - call.sent <= CROSSING_SECONDS:
+        return True
+    begin = call.sent - STABLE_SECONDS
+    return not history.calm(history.unplanned, begin, call.ended)
+
+
+CHECKS = (_runs, _answers, _leaving, _rates, _withdrawn, _repeats, _lost)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -22,7 +22,7 @@
 
 import attrs
 import treq
-from twisted.internet import defer, task
+from twisted.internet import defer, error, task
 from twisted.web import client as web_client
 
 from tests.platform.test_documents import DOCUMENT, ROUTE
@@ -36,6 +36,12 @@
 RECOVERY_SECONDS = 15.0
 RATE, BURST = 10.0, 10.0
 KEYS = {"key-a": "wide", "key-b": "narrow", "key-c": "wide", "key-d": "wide"}
+# Ends of calls that no instance has broken off: no connection, or no time left.
+NOT_BROKEN = (error.ConnectError, error.TimeoutError, defer.TimeoutError)
+# Faults of planned work.
+PLANNED = frozenset({"stop", "hup", "change"})
+# Pauses between planned stops, which come in series, in seconds.
+STOP_PAUSES = (1.0, 5.0)
 # Pauses between faults, in seconds; several run at the same time.
 PAUSES = (0.2, 1.5)
 LENGTHS = (0.3, 3.0)
@@ -88,6 +94,7 @@
         at += rng.uniform(*PAUSES)
     for group in parties.LATER_FAULTS:
         found += _later(group, seed, seconds)
+    found += _stops(seed, seconds)
     return sorted(found, key=lambda each: each.at)
 
 
@@ -102,6 +109,15 @@
         at += rng.uniform(1.0, 6.0)
 
 
+def _stops(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields planned stops in series."""
+    rng = random.Random(f"stops {seed}")
+    at = rng.uniform(*STOP_PAUSES)
+    while at < seconds:
+        yield Fault(at, "stop", rng.randrange(INSTANCES), 0.0)
+        at += rng.uniform(*STOP_PAUSES)
+
+
 def _links(link: proxy.Proxy, how: str) -> tuple[Any, Any]:
     if how not in proxy.Mode.__members__:
         return None, None
@@ -220,9 +236,13 @@
                 timeout=CALL_SECONDS,
             )
             body = await answer.content()
-        except Exception:  # noqa: BLE001
+        except Exception as failed:  # noqa: BLE001
             # No whole answer, for whatever reason, promises nothing.
+            call.ended = self.reactor.seconds()
+            in_time = call.ended < now + CALL_SECONDS
+            call.broken = in_time and not isinstance(failed, NOT_BROKEN)
             return call
+        call.ended = self.reactor.seconds()
         call.status = answer.code
         call.body = body.decode("latin-1")
         stamps = answer.headers.getRawHeaders("cicadafront-server-stamp", [""])
@@ -239,6 +259,10 @@
         spans = self.history.disturbed[name]
         spans.append((begin, float("inf")))
         place = len(spans) - 1
+        unplanned = self.history.unplanned[name]
+        if fault.kind not in PLANNED:
+            unplanned.append((begin, float("inf")))
+        number = len(unplanned) - 1
         self.told.append(
             f"{fault.at:6.2f} s {fault.kind} {fault.how} {name} "
             f"for {fault.seconds:.2f} s"
@@ -249,6 +273,8 @@
         if ended is not None:
             ended()
         spans[place] = (begin, self.reactor.seconds())
+        if fault.kind not in PLANNED:
+            unplanned[number] = spans[place]
 
     def action(self, fault: Fault) -> tuple[Any, Any]:
         """Returns what begins a fault, and what ends it."""
@@ -295,6 +321,9 @@
         if instance.planned or instance.process is None:
             return
         instance.planned = True
+        if number == signal.SIGTERM:
+            now = self.reactor.seconds()
+            self.history.stopped[instance.name].append(now)
         instance.process.signal(signal.SIGCONT)
         instance.process.signal(number)
         defer.ensureDeferred(self.restart(instance))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,9 @@
 CALL = checks.Call("1", "pay", "k", "n0", 10.0, 200, stamp="t.1", body="1 at t")
 READ_REFUSED = attrs.evolve(CALL, id="0", kind="read", status=503, stamp="")
 RUN = checks.Run("1", "POST /pay/1", "t", "n1", "a", False, 10.0, 200)
+# A payment that a planned stop at 8 s cuts at the end of the grace.
+CUT = attrs.evolve(CALL, status=0, stamp="", ended=13.2, broken=True)
+AT_WORK = attrs.evolve(RUN, status=0)
 
 
 def history(calls=(CALL,), runs=(RUN,), **fields):
@@ -47,6 +50,17 @@
     return {**sent, "arrivals": once + again}
 
 
+def cut(call=CUT, *, runs=(AT_WORK,), **fields):
+    """Returns a history in which a planned stop ends a payment."""
+    return {
+        "calls": [call],
+        "runs": runs,
+        "arrivals": [(run.id, run.began) for run in runs],
+        "stopped": {"n0": [8.0]},
+        **fields,
+    }
+
+
 class ChecksTest(unittest.TestCase):
     """Guards against a soak that sees nothing."""
 
@@ -80,6 +94,10 @@
             ("rate", {**many(37, 0.0, 4.9), "rates": {"a": (2.0, 5.0)}}),
             ("withdrawn", {"withdrawn": {"k": 7.9}}),
             ("repeats", repeated(15)),
+            ("lost", cut(runs=())),
+            ("lost", cut(attrs.evolve(CUT, sent=11.1))),
+            ("lost", cut(attrs.evolve(CUT, ended=12.9))),
+            ("lost", cut(runs=[RUN])),
             ("ended by itself", {"ended": ["n0 (1)"]}),
             ("does not serve again", {"unserved": ["n0"]}),
         ]
@@ -100,6 +118,19 @@
                     "disturbed": {"": [], "n0": [], "n1": [(5.0, 8.0)]},
                 },
             ),
+            ("cut_at_work", cut()),
+            (
+                "crossed_the_close",
+                cut(attrs.evolve(CUT, ended=10.1), runs=()),
+            ),
+            (
+                "cut_while_the_target_fails",
+                cut(
+                    attrs.evolve(CUT, ended=12.9),
+                    unplanned={"n1": [(11.0, 12.0)]},
+                ),
+            ),
+            ("killed", cut(runs=(), unplanned={"n0": [(9.0, 9.0)]})),
             (
                 "read_twice",
                 {
