Give calls of the store an id that its answers copy

Seen: on a kept connection a repeated 409 made a write fail as a conflict ("changed by someone else") that the store carried out.

Cause: answers were attributed to calls by their position on the connection.

Change: calls carry X-Exchange-Id, as requests to targets do. Once a store has copied it into an answer, an answer with another id, or none, fails the call as unknown, and all kept connections are closed. The emulated store copies ids.

Why it works: the id says which call an answer belongs to. A connection of its own for each write, as in the client of the platform's store, would cost this one a round trip for each of many writes. A store that copies no ids is trusted by position as before.

--- a/src/cicadafront/emulator/store.py
+++ b/src/cicadafront/emulator/store.py
@@ -17,7 +17,7 @@
 from twisted.internet import defer, task
 from twisted.web import server
 
-from cicadafront import errors, ports
+from cicadafront import dialect, errors, ports
 from cicadafront.emulator import keyvalue
 from cicadafront.store import client
 
@@ -248,6 +248,9 @@
         return _json(request, {"items": items})
 
     async def _answer(self, request: Any, calling: defer.Deferred[Any]) -> Any:
+        exchange_id = request.getHeader(dialect.EXCHANGE_ID)
+        if exchange_id:
+            request.setHeader(dialect.EXCHANGE_ID, exchange_id)
         try:
             return await calling
         except errors.StoreUnavailableError:
--- a/src/cicadafront/store/client.py
+++ b/src/cicadafront/store/client.py
@@ -12,11 +12,16 @@
   `{"version"}`, or 409 when the version differs.
 - `POST /v1/leases?ttl=S` answers `{"lease"}`; `PUT` and `DELETE
   /v1/leases?lease=L` renew and revoke, or answer 409 once it has lapsed.
+
+Each call has an `X-Exchange-Id`. A store that copies it into its answers shows
+which call an answer belongs to.
 """
 
 import base64
 import collections
+import itertools
 import json
+import random
 from typing import Any
 from urllib import parse
 
@@ -25,7 +30,7 @@
 from twisted.internet import defer
 from twisted.web import client as web_client
 
-from cicadafront import errors, ports
+from cicadafront import dialect, errors, ports
 from cicadafront.store import body
 
 # Answers take milliseconds; a store that needs longer counts as unavailable.
@@ -42,6 +47,13 @@
     code = "store_refused"
 
 
+class CrossedAnswerError(errors.CicadafrontError):
+    """The store sent an answer to another call."""
+
+    code = "store_answer_crossed"
+
+
+_EXCHANGE_IDS = itertools.count(random.SystemRandom().getrandbits(62))
 _HEADERS: dict[bytes | str, bytes | str] = {
     "Content-Type": "application/octet-stream"
 }
@@ -79,6 +91,7 @@
         self._reactor = reactor
         self._url = url.rstrip("/")
         self._timeout = timeout
+        self._copies_ids = False
         # A repeated write could take effect twice, so the pool must not
         # retry on a broken connection.
         self._pool = web_client.HTTPConnectionPool(reactor, persistent=True)
@@ -96,16 +109,27 @@
     async def _send(
         self, method: str, path: str, query: dict[str, Any], data: bytes | None
     ) -> _Answer:
+        id = f"{next(_EXCHANGE_IDS):016x}"
         response = await self._http.request(
             method,
             f"{self._url}{path}?{parse.urlencode(query)}",
             data=data,
-            headers=_HEADERS,
+            headers={**_HEADERS, dialect.EXCHANGE_ID: id},
             allow_redirects=False,
             unbuffered=True,
         )
         content = await body.read(response)
-        return _Answer(response.code, response.headers, content)
+        answer = _Answer(response.code, response.headers, content)
+        copied = _header(answer, dialect.EXCHANGE_ID.decode())
+        self._copies_ids = self._copies_ids or bool(copied)
+        if self._copies_ids and copied != id:
+            # The answer to this call may still come on its connection.
+            self._pool.closeCachedConnections()
+            raise CrossedAnswerError(
+                "An answer belongs to another call; check the store. A write "
+                "may have taken effect."
+            )
+        return answer
 
     async def _call(
         self,
