Test that a stopping instance beside a target refuses what waits

Three of nine payments that find no slot at two targets which hang get 503, not run, and reach no target; with the sources of the test failed: 0 != 3. The time of the signal may be 0 on a virtual clock.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -356,8 +356,8 @@
     @defer.inlineCallbacks
     def _drain(self) -> Any:
         settings = self._settings
-        self.asked_to_stop()
-        began = self._asked or 0.0
+        now = self._reactor.seconds()
+        began = now if self._asked is None else self._asked
         self._planned.schedule = planned = shutdown.Schedule(
             began + settings.leave_seconds, began + settings.stop_seconds
         )
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -277,6 +277,39 @@
 
         self.assertEqual(self.run_test(stop()), (200, 503, 200))
 
+    def test_planned_stop_refuses_what_waits(self):
+        async def stop():
+            slow = {**PAYMENT, "timeout_s": 30.0}
+            hosts = [{"host": "one.example", "paths": [slow]}]
+            self.store.write("op/config", document(2, virtual_hosts=hosts))
+            await self.until(lambda: self.one.built.held.revision == 2)
+            for instance in self.instances:
+                instance.target.hang = True
+            asked = [
+                defer.ensureDeferred(
+                    self.ask(path="/pay/x", Cicadafront_Request_Id=f"{number}")
+                )
+                for number in range(9)
+            ]
+            await self.until(lambda: len(self.running()) == 6)
+            await self.one.daemon.stop()
+            return await defer.DeferredList(asked, consumeErrors=True)
+
+        refused = set()
+        for number, (answered, answer) in enumerate(self.run_test(stop())):
+            if answered:
+                self.assertEqual(answer[0], 503)
+                self.assertEqual(json.loads(answer[1])["executed"], "no")
+                refused.add(str(number))
+        # The two targets have three slots each and end nothing.
+        self.assertEqual(len(refused), 3)
+        self.assertEqual(refused & self.running(), set())
+
+    def running(self):
+        """Ids of the requests that the targets have had."""
+        seen = [*self.one.target.seen, *self.two.target.seen]
+        return {fields["cicadafront-request-id"] for _, fields in seen}
+
     def test_metrics(self):
         async def ask():
             await self.ask()
