--- /dev/null
+++ b/tests/limits/test_settle.py
@@ -0,0 +1,48 @@
+"""Writes of the owners once the store answers again."""
+
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront.config import model as config_model
+from cicadafront.emulator import fleet as fleets
+from cicadafront.limits import claims, schedule, shards
+
+ACCOUNT = config_model.ClientAccount("amani", 20, 40)
+# An owner asks its deputy, which opens an outage, after 2 s without a renewal.
+AWAY_SECONDS = 4.0
+# A new lease and the settled outage, for each shard.
+WRITES = 2 * shards.SHARDS
+
+
+class SettleTest(unittest.TestCase):
+    """Guards against a write per shard at once, which delays the renewals."""
+
+    @parameterized.expand([(20.0,), (50.0,)])
+    def test_outage_settles_at_a_slow_store(self, per_second):
+        fleet = fleets.Fleet(1, 3, 3, 0.0, (ACCOUNT,))
+        fleet.advance(15)
+        fleet.store.up = False
+        fleet.advance(AWAY_SECONDS)
+        fleet.store.writes_per_second = per_second
+        fleet.store.up = True
+        # Half of what the store serves is enough.
+        longest_pause = schedule.BACKOFF_SECONDS[1]
+        fleet.advance(longest_pause + 2 * WRITES / per_second)
+        found = [
+            claims.decode(item.value)
+            for key, item in fleet.store.items.items()
+            if key.startswith(claims.OWNER_PREFIX)
+        ]
+        self.assertTrue(any(claim.settled for claim in found))
+        unsettled = [
+            state.number
+            for node in fleet.nodes.values()
+            for state in node.limits.ownership.core.shards
+            if state.held and not state.settled
+        ]
+        self.assertEqual(unsettled, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
