Leave a whole answer to the socket when the linger ends

What callers saw: a caller that takes the end of its last answer more than 1 s after it was sent got a reset in the middle of it. In a planned stop each answer is the last of its connection; outside of one, those to `Connection: close` are. The same happened to a caller that closed its half after the answer was sent.

Cause: the linger begins when the answer is in the send buffer of the socket, not when the caller has it, and ended with a break (SO_LINGER of 0), which discards that buffer.

Evidence: tests.daemon.test_slow_caller, an answer of 256 KB to a caller with a receive buffer of 8 KB that reads 1.5 s late.

ERROR: test_last_answer_is_taken_late_0_after_the_linger ERROR: test_last_answer_is_taken_late_1_after_it_closed_its_half ERROR: test_last_answer_is_taken_late_2_in_a_planned_stop ConnectionResetError: [Errno 104] Connection reset by peer FAILED (errors=3)

Why it works: the operating system goes on to send what is in the buffer, also after the process has ended. An answer that is not whole is still broken off: only connections whose last answer was written come to these places, and one that the transport cannot flush in FLUSH_SECONDS is broken off as before.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -136,12 +136,15 @@
             self._arm(self._site.head_seconds, self._slow_head)
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        """Treats a caller that closes its half as gone."""
-        self.abort()
+        """Treats a caller that closes its half before its answer as gone."""
+        if self._closing:
+            self._release()
+        else:
+            self.abort()
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Starts to linger once the last answer is flushed."""
-        self._arm(LINGER_SECONDS, self.abort)
+        self._arm(LINGER_SECONDS, self._release)
 
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
@@ -383,6 +386,14 @@
         self._cancel()
         self.transport.abortConnection()
 
+    def _release(self) -> None:
+        """Leaves what the caller has not yet taken to the operating system.
+
+        The last answer may lie whole in the socket, where a break of the
+        connection would destroy it.
+        """
+        self.transport.loseConnection()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request runs or is arriving."""
         if self._answer is None and self._idle and not self._unread():
