Move the planned stop out of the composition root

No behaviour changes; tests.daemon.test_stop, tests.edge.test_stop and tests.sidecar.test_deployment passed before and after.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -6,28 +6,18 @@
 from typing import Any
 
 import attrs
-from twisted.internet import defer, protocol, task
-from twisted.python import failure
+from twisted.internet import defer, protocol
 
 from cicadafront import dialect, ports, shutdown
 from cicadafront.agent import agent, observer, queue, targets
 from cicadafront.config import model as config_model
-from cicadafront.daemon import local, options, supervisor
+from cicadafront.daemon import local, options, planned_stop, supervisor
 from cicadafront.edge import forward, parts, policies, server
 from cicadafront.peer import codec, exchange, link, pool
-from cicadafront.telemetry import logs, tracing
 from cicadafront.telemetry import metrics as metrics_module
+from cicadafront.telemetry import tracing
 
 IDLE_CHECK_SECONDS = 5.0
-# Interval at which a planned stop refuses what waits; a part of the margin
-# between the last refusal and the cut.
-REFUSE_SECONDS = 0.1
-# Interval at which a planned stop looks whether all work has ended.
-DRAIN_CHECK_SECONDS = 0.02
-# Limit of the hand-over of shards; their state is in memory and small.
-HAND_OVER_SECONDS = 8.0
-
-_log = logs.Log("daemon")
 
 
 @attrs.define
@@ -95,15 +85,6 @@
     repeated_share: Callable[[], float] = lambda: 0.0
 
 
-# Counters of requests that a planned stop did not serve.
-_STOP_COUNTS = (
-    "stop_refused_late",
-    "stop_refused_waiting",
-    "stop_refused_at_agent",
-    "stop_cut",
-)
-
-
 FleetBuilder = Callable[[ports.PeerCalls], Fleet]
 
 
@@ -147,9 +128,6 @@
         self._reactor = reactor
         self._settings = settings
         self._rng = rng or random.Random()
-        self._stopping: defer.Deferred[None] | None = None
-        # Time at which a signal asked for the stop.
-        self._asked: float | None = None
         self.counts: collections.Counter[str] = collections.Counter()
         self._planned = shutdown.Shutdown()
         self._build_peer()
@@ -171,6 +149,7 @@
         self._build_edge()
         self._build_metrics()
         self._build_tree()
+        self._build_stop()
 
     def _build_peer(self) -> None:
         settings = self._settings
@@ -289,6 +268,24 @@
             self.tree.add(part)
         self.tree.add(self._edge_port)
 
+    def _build_stop(self) -> None:
+        self._stop = planned_stop.PlannedStop(
+            reactor=self._reactor,
+            settings=self._settings,
+            planned=self._planned,
+            agent=self.agent,
+            forwarder=self._forwarder,
+            edge=self._edge,
+            edge_port=self._edge_port,
+            links=self._peers.links,
+            calls=self.calls,
+            tree=self.tree,
+            counts=self.counts,
+            rng=self._rng,
+            announce=self._fleet.announce_leaving,
+            hand_over=self._fleet.hand_over,
+        )
+
     @property
     def edge_port(self) -> int:
         """Port for callers, once started."""
@@ -342,121 +339,8 @@
         Returns:
             Whether this is the first time.
         """
-        if self._asked is not None:
-            return False
-        self._asked = self._reactor.seconds()
-        return True
+        return self._stop.ask()
 
     def stop(self) -> "defer.Deferred[None]":
         """Stops gracefully: running exchanges of all roles are finished."""
-        if self._stopping is None:
-            self._stopping = self._drain()
-        return self._stopping
-
-    @defer.inlineCallbacks
-    def _drain(self) -> Any:
-        settings = self._settings
-        now = self._reactor.seconds()
-        began = now if self._asked is None else self._asked
-        self._planned.schedule = planned = shutdown.Schedule(
-            began + settings.leave_seconds, began + settings.stop_seconds
-        )
-        supervisor.log("leaving: the fleet is told; running requests end.")
-        self._edge.drain()
-        self._fleet.announce_leaving()
-        refusing = supervisor.Periodic(
-            "refusal of what waits",
-            self._reactor,
-            REFUSE_SECONDS,
-            self._refuse_waiting,
-            self._rng,
-        )
-        refusing.start()
-        # Callers that learn of the stop by the health check still come.
-        yield self._pause(settings.accept_seconds, planned.last_end)
-        yield self._edge_port.stop()
-        supervisor.log("leaving: no new connections are accepted.")
-        # Peers choose the targets here until they learn of the stop, and
-        # callers may have sent a request on a connection that looks idle.
-        left = planned.late - self._reactor.seconds()
-        yield self._pause(left, planned.last_end)
-        self.agent.accepting = False
-        self.agent.idle.close()
-        self._edge.close_idle()
-        yield self._until(planned.cut, self._finished)
-        refusing.stop()
-        self._cut()
-        yield self._hand_over()
-        yield self._close_links()
-        yield self.tree.stop()
-        supervisor.log("stopped.")
-
-    def _pause(self, seconds: float, end: float) -> "defer.Deferred[None]":
-        """Waits for some time, but not beyond a moment."""
-        most = end - self._reactor.seconds()
-        return task.deferLater(self._reactor, max(0.0, min(seconds, most)))
-
-    def _refuse_waiting(self) -> None:
-        """Refuses what waits for a target and cannot end before the cut."""
-        self._forwarder.refuse_waiting()
-        self.agent.refuse_waiting()
-        schedule = self._planned.schedule
-        if schedule and self._reactor.seconds() > schedule.last_end:
-            self._edge.refuse_partial(shutdown.refusal())
-
-    def _finished(self) -> bool:
-        busy = any(accepted.busy for accepted in self._peers.links)
-        running = self._forwarder.running or self.agent.running
-        return not (busy or running or self._edge.connections)
-
-    def _until(
-        self, limit: float, condition: Callable[[], bool]
-    ) -> "defer.Deferred[Any]":
-        def check() -> None:
-            if condition() or self._reactor.seconds() >= limit:
-                waiting.stop()
-
-        waiting = task.LoopingCall(check)
-        waiting.clock = self._reactor
-        return waiting.start(DRAIN_CHECK_SECONDS)
-
-    def _hand_over(self) -> "defer.Deferred[None]":
-        handing = self._fleet.hand_over()
-        handing.addTimeout(HAND_OVER_SECONDS, self._reactor)
-        return handing.addErrback(self._not_handed_over)
-
-    def _not_handed_over(self, _reason: failure.Failure) -> None:
-        supervisor.log(
-            "some shards were not handed over; their next owner waits until "
-            "this process is known to have ended."
-        )
-
-    def _cut(self) -> None:
-        """Ends what is left and logs what the stop refused and cut."""
-        # A process that was paused may have missed the last interval.
-        self._refuse_waiting()
-        left = {
-            "exchanges of callers": len(self._forwarder.running),
-            "exchanges at targets": len(self.agent.running),
-            "connections of callers": sum(
-                connection.cut() for connection in list(self._edge.connections)
-            ),
-        }
-        for name, count in left.items():
-            if count:
-                supervisor.log(f"the time limit cuts {count} {name}.")
-        self.counts["stop_cut"] += left["exchanges of callers"]
-        _log.info(
-            "what the planned stop refused and cut.",
-            **{name: self.counts[name] for name in _STOP_COUNTS},
-        )
-
-    def _close_links(self) -> "defer.Deferred[Any]":
-        for accepted in list(self._peers.links):
-            accepted.finish()
-        self.calls.close()
-        limit = self._reactor.seconds() + self._settings.link_close_seconds
-        # Answers that are whole may still be on their way to slow callers.
-        return self._until(
-            limit, lambda: not (self._peers.links or self._edge.connections)
-        )
+        return self._stop.run()
