Ask back for relayed requests too, so that a planned stop can refuse them

What callers saw: a request that an entry had sent through a third instance, and that waited in the queue of the agent there, was reset without an answer at the cut of the entry's planned stop, though no target had it.

Cause: relayed requests were opened without the wait for a confirmation, so the entry took each for one that a target may have, and refused none. An entry relays when its link to the last agents is lost, as at the planned stop of another instance of a rolling restart.

Evidence: failed before:

ERROR: test_request_behind_a_relay_1_refused ConnectionResetError: [Errno 104] Connection reset by peer FAIL: test_waits_for_a_slot_behind_a_relay AssertionError: the caller is not answered before the cut

test_request_behind_a_relay_0_served (a relayed request that a target has is served) passed before and passes now.

Change: the agent asks back for a relayed request as for others on another instance, where the deployment asks back at all. The relay passes the grant and the confirmation on already, as it does all frames of a stream.

Why it works: until the entry confirms, nothing runs, so its refusal is true. A link lost before it counts as "not run" now, which it is.

--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -321,7 +321,6 @@
             objective=wanted.route.objective,
             arrivals=self._arrivals(),
             confirm=self._site.asking.confirm
-            and not via
             and target.instance != self._site.instance,
         )
 
--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -208,6 +208,40 @@
         self.assertEqual(target.connections, 1)
         self.assertEqual(daemon.wait(), 0)
 
+    @parameterized.expand([("served", 2, 200), ("refused", 1, 503)])
+    def test_request_behind_a_relay(self, _name, slots, expected):
+        entry = self._daemon(
+            "a", leave_seconds=0.3, stop_seconds=3.0, confirm=True
+        )
+        third, agent = (self._daemon(id, confirm=True) for id in ("c", "b"))
+        first = threading.Event()
+
+        def script(connection):
+            fleet.read_head(connection)
+            time.sleep(0.5 if first.is_set() else 20)
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        target = fleet.Target(script)
+        self.addCleanup(target.close)
+        fleet.fleet_of(
+            [entry, third, agent],
+            {"t": target},
+            [fleet.route()],
+            slots=slots,
+            detours={("a", "b"): fleet.unused_port()},
+        )
+        self._open(third, HEAD + b"x")
+        time.sleep(0.3)
+        first.set()
+        relayed = self._open(entry, HEAD + b"x")
+        time.sleep(0.3)
+        entry.terminate()
+        if expected == 200:
+            self.assertEqual(self._answer(relayed).status, expected)
+        else:
+            self._assert_refused(relayed)
+        self.assertEqual(target.connections, slots)
+
     def test_grace_counts_from_the_signal(self):
         daemon = self._daemon("a", leave_seconds=0.3, stop_seconds=2.0)
         target = self._slow_target(20)
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -153,6 +153,19 @@
         self.assertAlmostEqual(self.refused(edge), 4.4, delta=0.11)
         self.assertTrue(edge.sink.cancelled)
 
+    def test_waits_for_a_slot_behind_a_relay(self):
+        edge = StoppingEdge(
+            asking=policies.Asking(confirm=True),
+            targets=[memory.target("t1")],
+            relay=lambda instance: "third",
+        )
+        edge.receive(GET)
+        error = errors.LinkLostError("Lost.", executed=errors.Executed.NO)
+        edge.opener.opened[0][2].fail(error, exchange.Load())
+        self.assertEqual(edge.request.relay_to, "i-t1")
+        self.assertAlmostEqual(self.refused(edge), 4.4, delta=0.11)
+        self.assertTrue(edge.sink.cancelled)
+
     def test_runs_at_a_target(self):
         edge = StoppingEdge()
         edge.receive(GET)
--- a/tests/support/process.py
+++ b/tests/support/process.py
@@ -21,6 +21,7 @@
 from cicadafront.agent import agent, targets
 from cicadafront.config import model as config_model
 from cicadafront.daemon import local, main, options, root
+from cicadafront.edge import policies
 from cicadafront.telemetry import operators
 
 HOST = "127.0.0.1"
@@ -107,6 +108,7 @@
 def run() -> int:
     """Runs the daemon until it is told to stop."""
     given = json.loads(sys.argv[1])
+    asking = policies.Asking(confirm=given.pop("confirm", False))
     settings = options.DaemonOptions(
         data_centre="dc",
         edge=(HOST, given.pop("edge", 0)),
@@ -116,7 +118,10 @@
     eliot.to_file(sys.stderr)
     control = Control(settings.instance)
     fleet = root.Fleet(
-        control.directory, control.directory, lambda: control.configuration
+        control.directory,
+        control.directory,
+        lambda: control.configuration,
+        asking=asking,
     )
     control.daemon = root.Daemon(reactor, settings, lambda _: fleet)
     # Runs after the listeners are open, which `main.run` arranges first.
