Ignore blank lines before a request

What callers saw: a caller that ends a request with an extra line break, as some do, got a 400 on its kept connection while no request waited for an answer, and the connection was closed. Its next request meets that 400, an answer to no request of its own, or the close.

Cause: h11 takes a blank line in place of a request line for an invalid request. RFC 9112, section 2.2, has servers ignore it.

Change: line breaks at the start of a connection and after a request are dropped before h11 gets them. What lies ahead in h11 is read by a new h11 connection, for h11 has no way to drop bytes.

Why it works: line breaks cannot begin a request. Connections with nothing but blank lines stay idle, so that the idle limit and a planned stop close them.

--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -25,6 +25,8 @@
 # Bytes of pipelined requests that are read ahead.
 AHEAD_BYTES = 64 * 1024
 
+# Blank lines before a request are ignored (RFC 9112, section 2.2).
+_BLANK = b"\r\n"
 _CLOSE = (b"Connection", b"close")
 _REASONS = {
     status: reason.encode("ascii")
@@ -123,6 +125,10 @@
         """Takes bytes of requests."""
         if self._closing or self._last():
             return
+        if self._idle:
+            data = data.lstrip(_BLANK)
+            if not data:
+                return
         began, self._idle = self._idle, False
         self._http.receive_data(data)
         if self._http.their_state is h11.DONE:
@@ -314,8 +320,15 @@
         if states != (h11.DONE, h11.DONE):
             self.close()
             return
+        ahead = self._http.trailing_data[0]
         self._http.start_next_cycle()
-        self._idle = not self._http.trailing_data[0]
+        rest = ahead.lstrip(_BLANK)
+        if rest != ahead:
+            self._http = h11.Connection(h11.SERVER, framing.MAX_HEAD_BYTES)
+            if rest:
+                # No bytes would mean the end of the connection.
+                self._http.receive_data(rest)
+        self._idle = not rest
         site = self._site
         seconds = site.idle_seconds if self._idle else site.head_seconds
         self._arm(seconds, self._slow_head)
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -55,6 +55,38 @@
         self.assertFalse(edge.transport.half_closed)
 
 
+class BlankLineTest(unittest.TestCase):
+    """Guards against answers to blank lines that no request waits for."""
+
+    @parameterized.expand(
+        [
+            ("before the first request", [b"\r\n" + GET], 1),
+            ("with the next request", [GET, None, b"\r\n" + GET], 2),
+            ("between requests", [GET, None, b"\r", b"\n", GET], 2),
+            ("with the request before", [GET + b"\r\n", None, GET], 2),
+            ("pipelined", [GET + b"\r\n" + GET, None], 2),
+        ]
+    )
+    def test_ignored(self, _name, pieces, opened):
+        edge = Edge()
+        for piece in pieces:
+            if piece is None:
+                edge.answer(fields=((b"Content-Length", b"0"),))
+            else:
+                self.assertEqual(edge.receive(piece), b"")
+        self.assertEqual(len(edge.opener.opened), opened)
+        self.assertIn(b" 200 ", edge.answer(body=b"ok"))
+
+    def test_idle_limit_still_holds(self):
+        edge = Edge()
+        edge.receive(GET + b"\r\n")
+        edge.answer(fields=((b"Content-Length", b"0"),))
+        edge.clock.advance(server.IDLE_SECONDS - 1)
+        edge.receive(b"\r\n")
+        edge.clock.advance(1.1)
+        self.assertTrue(edge.transport.half_closed)
+
+
 class AnswerTest(unittest.TestCase):
     """Guards against answers that a caller reads with another length."""
 
