Do not take the time limit of a route for the time that requests take in a stop

A time limit says how long a caller bears to wait.

Evidence: tests.edge.test_stop.LateRequestTest.test_what_can_end_is_served (limit of minutes) and tests.test_shutdown.AdmitsTest .test_route_without_an_objective_and_with_a_long_limit failed before.

Change: without an objective 2.6 s are expected. Routes with an objective, which all routes of the users' deployments state, are judged as before.

--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -459,12 +459,11 @@
 
     def fits(self) -> bool:
         """Whether the request can end before a planned stop does."""
-        request = self._request
         return self._agent.stopping.admits(
             self._agent.clock.seconds(),
             self._opened,
             self._deadline,
-            request.objective or request.timeout,
+            self._request.objective,
         )
 
     def refuse_waiting(self) -> None:
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -249,12 +249,11 @@
 
     def fits(self) -> bool:
         """Whether an attempt that begins now can end before a stop does."""
-        wanted = self._order
         return self._site.stopping.admits(
             self._site.clock.seconds(),
             self._read,
             self._deadline,
-            wanted.route.objective or wanted.timeout,
+            self._order.route.objective,
         )
 
     def attempt_said(self, target: str, what: str) -> None:
--- a/src/cicadafront/shutdown.py
+++ b/src/cicadafront/shutdown.py
@@ -11,12 +11,18 @@
 # An entry ends a request up to 0.25 s after its time limit, so that its agent
 # can answer first; the answer then has to reach the caller.
 END_MARGIN_SECONDS = 0.4
+# Expected time of a request whose route states no objective: twice the longest
+# mean work of the users' requests. Its time limit says how long a caller bears
+# to wait, which may be minutes.
+UNSTATED_SECONDS = 2.6
 # Another instance can take the request at once.
 RETRY_SECONDS = 0.2
 
 
 def _expected_seconds(objective: float) -> float:
     """Returns the seconds within which nearly all good answers come."""
+    if not objective:
+        return UNSTATED_SECONDS
     return spells.PRIOR_SHARE * spells.LATE * objective
 
 
@@ -47,7 +53,8 @@
             now: Present time.
             read: Time at which the request was read.
             limit: Time at which its time limit ends.
-            objective: Seconds within which its caller wants the answer.
+            objective: Seconds within which its caller wants the answer, 0 if
+                its route states none.
         """
         if limit <= self.last_end:
             return True
--- a/tests/edge/test_stop.py
+++ b/tests/edge/test_stop.py
@@ -78,6 +78,7 @@
         [
             ("usual time fits", {}, 1.0, True),
             ("usual time does not fit", {"objective": 5.0}, 1.0, False),
+            ("limit of minutes", {"objective": 0.0, "timeout": 120.0}, 1, True),
             ("limit ends in time", {"timeout": 1.5}, 3.0, True),
             ("limit ends at the cut", {"timeout": 2.2}, 3.0, False),
         ]
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -69,6 +69,13 @@
         found = SCHEDULE.admits(now, read, limit, objective)
         self.assertEqual(found, expected)
 
+    def test_route_without_an_objective_and_with_a_long_limit(self):
+        # A stop of 60 s, and a limit of two minutes.
+        schedule = shutdown.Schedule(late=102.0, cut=160.0)
+        for now, expected in ((100.5, True), (156.0, True), (159.0, False)):
+            found = schedule.admits(now, 100.5, 220.5, 0.0)
+            self.assertEqual(found, expected)
+
     def test_no_stop(self):
         self.assertTrue(shutdown.Shutdown().admits(0.0, 0.0, 1e9, 1e9))
 
