--- a/src/cicadafront/emulator/demo.py
+++ b/src/cicadafront/emulator/demo.py
@@ -359,10 +359,13 @@
 
         done = await self.until(ended, 15.0)
         status = process.wait(0.1)
-        good = sum(answer.good for answer in [*uploads, *reads])
-        count = len(uploads) + len(reads)
-        seen = f"{good} of {count} whole, exit code {status}"
-        return done and status == 0 and good == count, seen
+        answers = [*uploads, *reads]
+        bad = [answer.code for answer in answers if not answer.good]
+        good = len(answers) - len(bad)
+        seen = f"{good} of {len(answers)} whole, exit code {status}"
+        if bad:
+            seen += f", others: {', '.join(sorted(bad))}"
+        return done and status == 0 and not bad, seen
 
 
 def show(results: list[Result]) -> None:
