Monitor a link until its peer answers, though nothing is open

Cause: the heartbeat stopped at its check when no stream or call was open at that moment, and its next start counted as a received frame. A link that is used by calls of 0.15 s, or by streams that are given up, was never found silent, and each use cost its whole time limit.

Change: a stream or call that was sent, and a ping, makes a frame due. The heartbeat goes on until one comes, whatever is open. A link that was answered stops as before, so that an idle one costs no pings.

Shown by tests.peer.test_link: 8 ways of use x 3 directions of silence; suspect after 1 s at the latest, closed within 2.5 s. 18 of the 24 failed before.

--- a/src/cicadafront/peer/heartbeat.py
+++ b/src/cicadafront/peer/heartbeat.py
@@ -16,7 +16,12 @@
 
 
 class Heartbeat:
-    """Monitors a link while streams or calls are open on it."""
+    """Monitors a link while it is in use or a frame of the peer is due.
+
+    Attributes:
+        suspected: Whether the peer has left a ping unanswered for
+            `SUSPECT_AFTER_SECONDS`.
+    """
 
     def __init__(
         self,
@@ -38,30 +43,42 @@
                 `SUSPECT_AFTER_SECONDS` of a ping, and with False when a frame
                 arrives again.
         """
+        self.suspected = False
         self._clock = clock
         self._busy = busy
         self._ping = ping
         self._on_dead = on_dead
         self._on_suspect = on_suspect
-        self._suspected = False
         self._timer: Any = None
         self._due_at = 0.0
-        self._last_received = 0.0
+        # Time since which the link carries no frame although it is in use.
+        self._silent_since = 0.0
+        self._frame_due = False
         self._ping_sent = False
 
     def frame_received(self) -> None:
         """Records that a frame has arrived."""
-        self._last_received = self._clock.seconds()
+        self._silent_since = self._clock.seconds()
+        self._frame_due = False
         self._ping_sent = False
-        if self._suspected:
-            self._suspected = False
+        if self.suspected:
+            self.suspected = False
             self._on_suspect(False)
 
+    def frame_expected(self) -> None:
+        """Starts monitoring until a frame arrives; called after a request.
+
+        The peer answers every stream and call. One that ends before its answer
+        still shows the state of the link.
+        """
+        self.start()
+        self._frame_due = True
+
     def start(self) -> None:
         """Starts monitoring; called when a stream or call is opened."""
         if self._timer is None:
             # Measured from now, because an idle link carries no frames.
-            self.frame_received()
+            self._silent_since = self._clock.seconds()
             self._start_timer(PING_AFTER_SECONDS)
 
     def stop(self) -> None:
@@ -76,21 +93,22 @@
 
     def _check(self) -> None:
         self._timer = None
-        if not self._busy():
+        if not (self._frame_due or self._busy()):
             return
         now = self._clock.seconds()
-        idle = now - self._last_received
+        idle = now - self._silent_since
         if now - self._due_at > MAX_TIMER_DELAY_SECONDS:
             # This process was paused; frames may be unread in the socket.
             self._start_timer(MAX_TIMER_DELAY_SECONDS)
-        elif self._suspected:
+        elif self.suspected:
             self._on_dead()
         elif self._ping_sent:
-            self._suspected = True
+            self.suspected = True
             self._on_suspect(True)
             self._start_timer(DEAD_AFTER_SECONDS - SUSPECT_AFTER_SECONDS)
         elif idle >= PING_AFTER_SECONDS:
             self._ping_sent = True
+            self._frame_due = True
             self._ping(int(now * 1000))
             self._start_timer(SUSPECT_AFTER_SECONDS)
         else:
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -153,7 +153,7 @@
         stream = streams.Outgoing(self, id, response)
         self._streams[id] = stream
         self.send(codec.Open(id, request))
-        self._watch()
+        self._expect_frame()
         if self.closed:
             self._streams.pop(id)
             self._clock.callLater(
@@ -195,7 +195,7 @@
         )
         result.addBoth(self._call_finished, id)
         self.send(codec.Call(id, method, body))
-        self._watch()
+        self._expect_frame()
         return result
 
     def close(self) -> None:
@@ -315,7 +315,7 @@
         self._highest_id = id
         stream = streams.Incoming(self, id)
         self._streams[id] = stream
-        self._watch()
+        self._heartbeat.start()
         try:
             stream.attach(self._context.opener.open(request, stream))
         except Exception as error:
@@ -364,7 +364,8 @@
         queued, self._queued = self._queued, []
         for frame in queued:
             self.send(frame)
-        self._watch()
+        if queued:
+            self._expect_frame()
 
     def fail_all(self, executed: errors.Executed) -> None:
         """Closes the link and fails all open streams and calls.
@@ -390,9 +391,10 @@
                 failures.call_error("call_failed", self._lost_message())
             )
 
-    def _watch(self) -> None:
-        if self.ready and self.busy:
-            self._heartbeat.start()
+    def _expect_frame(self) -> None:
+        # Before the hello, the limits of the connection attempt apply.
+        if self.ready:
+            self._heartbeat.frame_expected()
 
     def _path_suspected(self, late: bool) -> None:
         if not self._accepted:
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -1,5 +1,6 @@
 """Tests of links, streams and calls between two instances."""
 
+import math
 import struct
 import unittest
 
@@ -17,6 +18,7 @@
 HEAD = model.RequestHead("GET", "/x", ((b"Host", b"h"),))
 REQUEST = exchange.OpenRequest(HEAD, "amani", "s", "t", 5.0)
 OK = model.ResponseHead(200, ((b"X", b"1"),))
+STEP_SECONDS = 0.05
 DEAD_SECONDS = heartbeat.PING_AFTER_SECONDS + heartbeat.DEAD_AFTER_SECONDS
 
 
@@ -47,12 +49,15 @@
         self.client = link.Link(self.a, peer)
         self.server = link.Link(self.b)
         self.partitioned = False
+        # Whether bytes from a to b, and from b to a, arrive.
+        self.carries = True, True
 
     def connect(self):
         """Connects both sides."""
         self.server.makeConnection(memory.Transport())
         self.client.makeConnection(memory.Transport())
         self.pump()
+        self.path_reports.clear()
         return self
 
     def pump(self):
@@ -60,11 +65,13 @@
         moved = self.client.transport is not None
         while moved and not self.partitioned:
             moved = False
-            for here, there in (
-                (self.client, self.server),
-                (self.server, self.client),
+            for carries, here, there in (
+                (self.carries[0], self.client, self.server),
+                (self.carries[1], self.server, self.client),
             ):
                 data = here.transport.take()
+                if not carries:
+                    continue
                 if data and not there.closed:
                     there.dataReceived(data)
                     moved = True
@@ -74,8 +81,8 @@
 
     def advance(self, seconds):
         """Advances the clock in steps of 50 ms and transfers bytes."""
-        for _ in range(round(seconds / 0.05)):
-            self.clock.advance(0.05)
+        for _ in range(round(seconds / STEP_SECONDS)):
+            self.clock.advance(STEP_SECONDS)
             self.pump()
 
     def open(self):
@@ -88,6 +95,37 @@
         _, _, remote_response, remote_request = self.b.opener.opened[-1]
         return request, response, remote_request, remote_response
 
+    def call(self, limit):
+        """Makes a call and ignores its result."""
+        self.client.call("m", b"", limit).addErrback(lambda _: None)
+        self.pump()
+
+    def cancelled(self, after):
+        """Opens a stream that is cancelled after some seconds."""
+        request, *_ = self.open()
+        self.clock.callLater(after, request.cancel)
+
+    def silence_found(self, use, period):
+        """Uses the link regularly; returns when its silence was noticed.
+
+        Returns:
+            Seconds from the first use until the path was reported as failing
+            ("suspected") and until the client closed the link ("closed");
+            infinite if it did not.
+        """
+        found = {"suspected": math.inf, "closed": math.inf}
+        every = round(period / STEP_SECONDS)
+        for step in range(round(10.0 / STEP_SECONDS)):
+            if self.client.closed:
+                found["closed"] = step * STEP_SECONDS
+                break
+            if step % every == 0:
+                use(self)
+            self.advance(STEP_SECONDS)
+            if self.path_reports and math.isinf(found["suspected"]):
+                found["suspected"] = (step + 1) * STEP_SECONDS
+        return found
+
     def inject(self, frame):
         """Delivers a frame to the client that the server did not send."""
         self.client.stringReceived(codec.encode(frame))
@@ -277,6 +315,46 @@
         self.assertEqual(response.events, [("link_lost", "unknown")])
         self.assertTrue(remote_request.cancelled)
 
+    @parameterized.expand(
+        [
+            ("short calls", lambda pair: pair.call(0.15), 0.1),
+            ("rarer calls", lambda pair: pair.call(0.15), 0.3),
+            ("rare calls", lambda pair: pair.call(0.15), 1.0),
+            ("single call", lambda pair: pair.call(0.15), 60.0),
+            ("cancelled streams", lambda pair: pair.cancelled(0.4), 0.6),
+            ("rare cancelled streams", lambda pair: pair.cancelled(0.1), 1.0),
+            ("single cancelled stream", lambda pair: pair.cancelled(0), 60.0),
+            ("long stream", lambda pair: pair.open(), 60.0),
+        ]
+    )
+    def test_silent_link_is_found_however_it_is_used(self, _name, use, period):
+        for to_peer, from_peer in (
+            (False, False),
+            (True, False),
+            (False, True),
+        ):
+            with self.subTest(to_peer=to_peer, from_peer=from_peer):
+                pair = Pair().connect()
+                pair.advance(10)
+                pair.carries = to_peer, from_peer
+                found = pair.silence_found(use, period)
+                self.assertLessEqual(found["suspected"], 1.0)
+                self.assertLessEqual(found["closed"], 2.5)
+
+    @parameterized.expand([("calls", 0.15), ("a cancelled stream", None)])
+    def test_answered_link_stays_open_and_idle(self, _name, limit):
+        pair = Pair().connect()
+        if limit is None:
+            pair.cancelled(0.1)
+        else:
+            pair.call(limit)
+        pair.advance(1.0)
+        pair.client.transport.clear()
+        pair.advance(60.0)
+        self.assertFalse(pair.client.closed or pair.server.closed)
+        self.assertEqual(pair.client.transport.value(), b"")
+        self.assertEqual(pair.path_reports, [])
+
     def test_path_is_reported_failing_before_the_link_is_closed(self):
         pair = Pair().connect()
         pair.open()
