Replace a suspect link at once and put nothing new on it

Requests waited on links that had left a ping unanswered, and the path was avoided for a second and longer after it worked again, since only a frame on the same link reset it.

Cause: a suspect link stayed the only way to its peer until it was closed 1.3 s later, though a new connection worked at once.

Change: the pool opens a new link when the current one becomes suspect, and uses it from its hello on, which also reports that the path works. The old link keeps what is open on it; if it recovers before the new one is ready, it is used again. A request on a suspect link that was not confirmed has certainly not run: it fails at once and goes to another agent. One that may have run waits for the end of the link, and ends as unknown.

--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -104,7 +104,7 @@
         closed: Whether the link is closed.
         established: Whether the link was ever ready.
         ready: Whether the hello has arrived, so that frames are sent at once.
-        last_used: Clock time of the last use, in seconds.
+        last_used: Clock time of the last use or frame, in seconds.
     """
 
     MAX_LENGTH = MAX_FRAME_BYTES
@@ -114,8 +114,18 @@
         self,
         context: LinkContext,
         peer: str = "",
-        on_closed: Callable[["Link"], None] | None = None,
+        on_closed: Callable[["Link"], None] = lambda _: None,
+        on_suspect: Callable[["Link", bool], None] = lambda *_: None,
     ):
+        """Creates a link that is not connected yet.
+
+        Args:
+            context: Dependencies on this instance.
+            peer: Id of the peer; empty for an accepted link.
+            on_closed: Called once when the link is closed.
+            on_suspect: Called with True when the peer has left a ping
+                unanswered, and with False when it sends a frame again.
+        """
         self._context = context
         self._clock = context.clock
         self._accepted = not peer
@@ -125,6 +135,7 @@
         self.established = False
         self.last_used = self._clock.seconds()
         self._on_closed = on_closed
+        self._on_suspect = on_suspect
         self._queued: list[codec.Frame] = []
         self._streams: dict[int, streams.Outgoing | streams.Incoming] = {}
         self._calls: dict[int, defer.Deferred[bytes]] = {}
@@ -145,12 +156,17 @@
         """Whether streams or calls are open."""
         return bool(self._streams or self._calls)
 
+    @property
+    def suspect(self) -> bool:
+        """Whether the peer has left a ping unanswered."""
+        return self._heartbeat.suspected
+
     def open(
         self, request: exchange.OpenRequest, response: exchange.ResponseSink
     ) -> exchange.RequestSink:
         """Opens a stream; its frames are queued until the link is ready."""
         id = next(self._ids)
-        stream = streams.Outgoing(self, id, response)
+        stream = streams.Outgoing(self, id, response, request.confirm)
         self._streams[id] = stream
         self.send(codec.Open(id, request))
         self._expect_frame()
@@ -254,6 +270,7 @@
 
     def stringReceived(self, string: bytes) -> None:  # noqa: N802
         """Handles one frame."""
+        self.last_used = self._clock.seconds()
         self._heartbeat.frame_received()
         try:
             self._receive(codec.decode(string))
@@ -361,6 +378,8 @@
         self._cancel_hello_timer()
         self.ready = True
         self.established = True
+        if not self._accepted:
+            self._context.report_path(self.peer, True)
         queued, self._queued = self._queued, []
         for frame in queued:
             self.send(frame)
@@ -382,8 +401,7 @@
         calls, self._calls = self._calls, {}
         if open_streams or calls:
             self._context.counts["links_lost"] += 1
-        if self._on_closed is not None:
-            self._on_closed(self)
+        self._on_closed(self)
         for stream in open_streams.values():
             stream.lost(self._link_lost_error(executed))
         for waiting in calls.values():
@@ -397,8 +415,15 @@
             self._heartbeat.frame_expected()
 
     def _path_suspected(self, late: bool) -> None:
-        if not self._accepted:
-            self._context.report_path(self.peer, not late)
+        if self._accepted:
+            return
+        self._context.report_path(self.peer, not late)
+        self._on_suspect(self, late)
+        if late:
+            error = self._link_lost_error(errors.Executed.NO)
+            for stream in list(self._streams.values()):
+                if isinstance(stream, streams.Outgoing):
+                    stream.link_suspected(error)
 
     def _ping(self, token: int) -> None:
         self.send(codec.Ping(token))
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -22,6 +22,10 @@
     """Links by instance id; implements `ports.PeerCalls`.
 
     Streams and calls to this instance itself run locally without a link.
+
+    A suspect link is replaced at once, because single connections can fail
+    while the path works. It carries what is open on it until that ends, or
+    until the link recovers or is closed.
     """
 
     def __init__(
@@ -52,10 +56,12 @@
         self._max_links = max_links
         self._connect_seconds = connect_seconds
         self._links: dict[str, link.Link] = {}
+        # Links that get nothing new.
+        self._replaced: set[link.Link] = set()
         self._down_until: dict[str, float] = {}
 
     def __len__(self) -> int:
-        return len(self._links)
+        return len(self._links) + len(self._replaced)
 
     def open(
         self,
@@ -115,10 +121,13 @@
         for found in list(self._links.values()):
             if not found.busy and found.last_used <= limit:
                 found.close()
+        for found in list(self._replaced):
+            if found.ready and not found.busy:
+                found.close()
 
     def close(self) -> None:
         """Closes all links."""
-        for found in list(self._links.values()):
+        for found in [*self._links.values(), *self._replaced]:
             found.close()
 
     def _call_locally(
@@ -135,14 +144,16 @@
 
     def _link(self, instance: str) -> link.Link | None:
         found = self._links.get(instance)
-        if found is not None and not found.closed:
+        if found is not None and not (found.closed or found.suspect):
             found.last_used = self._context.clock.seconds()
             return found
         address = self._address_of(instance)
         if address is None or self.is_down(instance):
             return None
-        new_link = link.Link(self._context, instance, self._link_closed)
-        self._links[instance] = new_link
+        new_link = link.Link(
+            self._context, instance, self._link_closed, self._link_suspected
+        )
+        self._use(new_link)
         self._close_surplus()
         failed = tcp.connect(
             self._reactor, address, new_link, self._connect_seconds
@@ -150,6 +161,22 @@
         failed.addErrback(new_link.connectionLost)
         return new_link
 
+    def _use(self, new: link.Link) -> None:
+        """Makes a link the one for new streams and calls to its peer."""
+        old = self._links.pop(new.peer, None)
+        if old is not None and not old.closed:
+            self._replaced.add(old)
+        self._replaced.discard(new)
+        self._links[new.peer] = new
+
+    def _link_suspected(self, suspected: link.Link, late: bool) -> None:
+        current = self._links.get(suspected.peer)
+        if late:
+            if current is suspected:
+                self._link(suspected.peer)
+        elif current is None or not current.ready:
+            self._use(suspected)
+
     def _close_surplus(self) -> None:
         surplus = len(self._links) - self._max_links
         if surplus <= 0:
@@ -165,13 +192,16 @@
             found.close()
 
     def _link_closed(self, closed_link: link.Link) -> None:
-        self._down_until.pop(closed_link.peer, None)
+        peer = closed_link.peer
+        self._replaced.discard(closed_link)
+        if self._links.get(peer) is not closed_link:
+            return
+        del self._links[peer]
+        self._down_until.pop(peer, None)
         if not closed_link.established:
             now = self._context.clock.seconds()
-            self._down_until[closed_link.peer] = now + DOWN_SECONDS
-            self._context.report_path(closed_link.peer, False)
-        if self._links.get(closed_link.peer) is closed_link:
-            del self._links[closed_link.peer]
+            self._down_until[peer] = now + DOWN_SECONDS
+            self._context.report_path(peer, False)
 
 
 class NullRequestSink:
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -60,10 +60,23 @@
     """Stream on the side that opened it; a `RequestSink`."""
 
     def __init__(
-        self, link: StreamLink, id: int, response: exchange.ResponseSink
+        self,
+        link: StreamLink,
+        id: int,
+        response: exchange.ResponseSink,
+        confirm: bool = False,
     ):
+        """Creates the stream.
+
+        Args:
+            link: Link that carries the stream.
+            id: Id of the stream on the link.
+            response: Receives the response.
+            confirm: Whether the agent runs the request only after `go`.
+        """
         super().__init__(link, id)
         self._response = response
+        self._unconfirmed = confirm
         self._head_received = False
 
     def end(self) -> None:
@@ -74,6 +87,7 @@
     def go(self) -> None:
         """Lets the agent run the request after `granted`."""
         if not self._closed:
+            self._unconfirmed = False
             self._link.send(codec.Go(self._id))
 
     def cancel(self) -> None:
@@ -118,6 +132,15 @@
             self._close()
             self._response.fail(error, _NO_LOAD)
 
+    def link_suspected(self, error: errors.RequestError) -> None:
+        """Fails the stream if its request has certainly not run.
+
+        Args:
+            error: Error of the request.
+        """
+        if self._unconfirmed:
+            self.abort(error)
+
     def _body(self, data: bytes) -> None:
         if self._receive_window.received(len(data)):
             self._response.body(data)
--- a/tests/peer/test_pool.py
+++ b/tests/peer/test_pool.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+from parameterized import parameterized
 from twisted.internet import defer, error, task
 from twisted.python import failure
 
@@ -10,6 +12,7 @@
 from tests.support import memory
 
 HEAD = model.RequestHead("GET", "/x", ())
+LOAD = exchange.Load()
 REQUEST = exchange.OpenRequest(HEAD, "", "s", "t", 5.0)
 
 
@@ -158,6 +161,93 @@
         self.assertEqual(seen, [b"herein", *expected, "call_timeout"])
 
 
+class SuspectLinkTest(unittest.TestCase):
+    """Guards against work on a link whose peer has gone silent.
+
+    Other connections to the same peer may work.
+    """
+
+    def setUp(self):
+        self.fixture = PoolFixture()
+        _, self.response = self.fixture.open("a")
+        self.old = self.fixture.connect()
+
+    def _advance(self, seconds):
+        # Longer steps look like pauses of the process.
+        self.fixture.reactor.pump([0.1] * round(seconds / 0.1))
+
+    def _suspect(self):
+        self._advance(0.8)
+
+    def _pong(self, made):
+        made.stringReceived(codec.encode(codec.Pong(0)))
+
+    def test_new_work_waits_for_a_new_link(self):
+        self._suspect()
+        self.assertEqual(len(self.fixture.reactor.attempts), 2)
+        self.old.transport.clear()
+        self.fixture.open("a")
+        self.assertEqual(self.old.transport.value(), b"")
+        new = self.fixture.connect()
+        self.assertTrue(new.busy)
+        self.assertFalse(self.old.closed)
+
+    @parameterized.expand(
+        [
+            ("waits for its slot", True, False, 0.8, ("link_lost", "no")),
+            ("was confirmed", True, True, 2.1, ("link_lost", "unknown")),
+            (
+                "needs no confirmation",
+                False,
+                False,
+                2.1,
+                ("link_lost", "unknown"),
+            ),
+        ]
+    )
+    def test_request_on_a_suspect_link(
+        self, _name, confirm, confirmed, seconds, expected
+    ):
+        response = memory.Response()
+        request = self.fixture.pool.open(
+            "a", attrs.evolve(REQUEST, confirm=confirm), response
+        )
+        if confirmed:
+            request.go()
+        self._advance(seconds - 0.2)
+        self.assertEqual(response.events, [])
+        self._advance(0.2)
+        self.assertEqual(response.events, [expected])
+
+    def test_recovered_link_is_used_if_no_new_one_connects(self):
+        self._suspect()
+        self._pong(self.old)
+        self.fixture.refuse()
+        self.assertFalse(self.fixture.pool.is_down("a"))
+        self.fixture.open("a")
+        self.assertEqual(len(self.fixture.reactor.attempts), 2)
+        self.assertEqual(self.response.events, [])
+
+    @parameterized.expand([("before the hello", True), ("after it", False)])
+    def test_surplus_link_is_closed_once_it_is_idle(self, _name, early):
+        self._suspect()
+        if early:
+            self._pong(self.old)
+            surplus, used = self.fixture.connect(), self.old
+        else:
+            surplus, used = self.old, self.fixture.connect()
+            self._pong(self.old)
+            self.fixture.pool.close_idle()
+            self.assertFalse(surplus.closed)
+            surplus.stringReceived(
+                codec.encode(codec.Reset(1, errors.RequestError("x"), LOAD))
+            )
+        self.fixture.pool.close_idle()
+        self.assertTrue(surplus.closed)
+        self.assertFalse(used.closed)
+        self.assertEqual(len(self.fixture.pool), 1)
+
+
 class RelayTest(unittest.TestCase):
     """Guards against streams that are relayed more than once.
 
