Check all links when one is silent, and follow up an overdue answer

Cause: an instance found each of its 29 links by its own first use, and waited 0.7 s for it, though what gets no answer from an agent within 0.15 s is given up by then.

Change: a call or stream that ends without an answer after 0.1 s or more makes the link ping its peer at once, so that it is suspect after 0.35 s instead of 0.7 s. When a link becomes suspect, all others are pinged, at most once a second: they often fail together.

Shown by tests.peer.test_link.LossTest.test_unanswered_use_is_followed_up_at_once (2 cases) and tests.peer.test_pool.CheckAllTest .test_idle_links_are_checked_when_one_is_silent, which failed before.

--- a/src/cicadafront/peer/heartbeat.py
+++ b/src/cicadafront/peer/heartbeat.py
@@ -5,6 +5,9 @@
 
 # Time without a frame on a busy link after which a ping is sent.
 PING_AFTER_SECONDS = 0.5
+# Age from which a request that ends without an answer leads to a ping; peers
+# answer within a few milliseconds.
+OVERDUE_AFTER_SECONDS = 0.1
 # Time without a frame after a ping until the peer counts as suspect and new
 # requests avoid the link; round trips take a few milliseconds.
 SUSPECT_AFTER_SECONDS = 0.2
@@ -74,6 +77,22 @@
         self.start()
         self._frame_due = True
 
+    def answer_overdue(self, since: float) -> None:
+        """Pings the peer at once if it has sent nothing for some time.
+
+        Args:
+            since: Time of a request that ended without an answer, in seconds.
+        """
+        overdue = self._clock.seconds() - since >= OVERDUE_AFTER_SECONDS
+        if overdue and self._silent_since <= since:
+            self.check_now()
+
+    def check_now(self) -> None:
+        """Pings the peer at once unless an earlier ping is unanswered."""
+        if not self._ping_sent:
+            self.stop()
+            self._send_ping()
+
     def start(self) -> None:
         """Starts monitoring; called when a stream or call is opened."""
         if self._timer is None:
@@ -107,9 +126,12 @@
             self._on_suspect(True)
             self._start_timer(DEAD_AFTER_SECONDS - SUSPECT_AFTER_SECONDS)
         elif idle >= PING_AFTER_SECONDS:
-            self._ping_sent = True
-            self._frame_due = True
-            self._ping(int(now * 1000))
-            self._start_timer(SUSPECT_AFTER_SECONDS)
+            self._send_ping()
         else:
             self._start_timer(PING_AFTER_SECONDS - idle)
+
+    def _send_ping(self) -> None:
+        self._ping_sent = True
+        self._frame_due = True
+        self._ping(int(self._clock.seconds() * 1000))
+        self._start_timer(SUSPECT_AFTER_SECONDS)
--- a/src/cicadafront/peer/link.py
+++ b/src/cicadafront/peer/link.py
@@ -166,7 +166,9 @@
     ) -> exchange.RequestSink:
         """Opens a stream; its frames are queued until the link is ready."""
         id = next(self._ids)
-        stream = streams.Outgoing(self, id, response, request.confirm)
+        stream = streams.Outgoing(
+            self, id, response, self._clock.seconds(), request.confirm
+        )
         self._streams[id] = stream
         self.send(codec.Open(id, request))
         self._expect_frame()
@@ -197,17 +199,11 @@
                 failures.call_error("call_failed", self._lost_message())
             )
         id = next(self._ids)
+        sent_at = self._clock.seconds()
         result: defer.Deferred[bytes] = defer.Deferred()
         self._calls[id] = result
         result.addTimeout(
-            timeout,
-            self._clock,
-            lambda *_: failure.Failure(
-                failures.call_error(
-                    "call_timeout",
-                    f"{self.peer} did not reply in time.",
-                )
-            ),
+            timeout, self._clock, lambda *_: self._call_timed_out(sent_at)
         )
         result.addBoth(self._call_finished, id)
         self.send(codec.Call(id, method, body))
@@ -239,6 +235,16 @@
         elif not self.closed:
             self._queued.append(frame)
 
+    def check(self) -> None:
+        """Pings the peer at once, also on an idle link."""
+        if self.ready:
+            self._heartbeat.check_now()
+
+    def answer_overdue(self, since: float) -> None:
+        """Pings the peer at once if it has sent nothing since a time."""
+        if self.ready:
+            self._heartbeat.answer_overdue(since)
+
     def remove_stream(self, id: int) -> None:
         """Removes a stream that has ended."""
         self._streams.pop(id, None)
@@ -362,6 +368,11 @@
         else:
             waiting.callback(reply.body)
 
+    def _call_timed_out(self, sent_at: float) -> failure.Failure:
+        self.answer_overdue(sent_at)
+        message = f"{self.peer} did not reply in time."
+        return failure.Failure(failures.call_error("call_timeout", message))
+
     def _call_finished(self, result: Any, id: int) -> Any:
         self._calls.pop(id, None)
         self.last_used = self._clock.seconds()
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -16,6 +16,8 @@
 # Time for which an instance counts as unreachable after a failed connection
 # attempt, so that not every request waits for another attempt.
 DOWN_SECONDS = 1.0
+# Minimum time between two checks of all links.
+CHECK_INTERVAL_SECONDS = 1.0
 
 
 class Pool:
@@ -56,6 +58,8 @@
         self._max_links = max_links
         self._connect_seconds = connect_seconds
         self._links: dict[str, link.Link] = {}
+        # Earliest time of the next check of all links.
+        self._next_check = 0.0
         # Links that get nothing new.
         self._replaced: set[link.Link] = set()
         self._down_until: dict[str, float] = {}
@@ -174,9 +178,21 @@
         if late:
             if current is suspected:
                 self._link(suspected.peer)
+            self._check_all()
         elif current is None or not current.ready:
             self._use(suspected)
 
+    def _check_all(self) -> None:
+        """Pings all peers, because links often fail together.
+
+        Without it, each silent link would delay the first request on it.
+        """
+        now = self._context.clock.seconds()
+        if now >= self._next_check:
+            self._next_check = now + CHECK_INTERVAL_SECONDS
+            for found in list(self._links.values()):
+                found.check()
+
     def _close_surplus(self) -> None:
         surplus = len(self._links) - self._max_links
         if surplus <= 0:
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -20,6 +20,9 @@
     def drop(self, frame: codec.Frame) -> None:
         """Drops and counts a frame that no stream expects."""
 
+    def answer_overdue(self, since: float) -> None:
+        """Pings the peer at once if it has sent nothing since a time."""
+
 
 def _protocol_error(violation: str) -> errors.RequestError:
     return errors.LinkLostError(
@@ -64,6 +67,7 @@
         link: StreamLink,
         id: int,
         response: exchange.ResponseSink,
+        opened_at: float,
         confirm: bool = False,
     ):
         """Creates the stream.
@@ -72,10 +76,12 @@
             link: Link that carries the stream.
             id: Id of the stream on the link.
             response: Receives the response.
+            opened_at: Time in seconds.
             confirm: Whether the agent runs the request only after `go`.
         """
         super().__init__(link, id)
         self._response = response
+        self._opened_at = opened_at
         self._unconfirmed = confirm
         self._head_received = False
 
@@ -98,6 +104,7 @@
             "The caller cancelled the request.", code="cancelled"
         )
         self._link.send(codec.Reset(self._id, error, _NO_LOAD))
+        self._link.answer_overdue(self._opened_at)
         self._close()
 
     def receive(self, frame: codec.Frame) -> None:
--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -341,6 +341,19 @@
                 self.assertLessEqual(found["suspected"], 1.0)
                 self.assertLessEqual(found["closed"], 2.5)
 
+    @parameterized.expand(
+        [
+            ("call", lambda pair: pair.call(0.15)),
+            ("cancelled stream", lambda pair: pair.cancelled(0.15)),
+        ]
+    )
+    def test_unanswered_use_is_followed_up_at_once(self, _name, use):
+        pair = Pair().connect()
+        pair.advance(10)
+        pair.partitioned = True
+        found = pair.silence_found(use, 60.0)
+        self.assertLessEqual(found["suspected"], 0.4)
+
     @parameterized.expand([("calls", 0.15), ("a cancelled stream", None)])
     def test_answered_link_stays_open_and_idle(self, _name, limit):
         pair = Pair().connect()
--- a/tests/peer/test_pool.py
+++ b/tests/peer/test_pool.py
@@ -248,6 +248,48 @@
         self.assertEqual(len(self.fixture.pool), 1)
 
 
+class CheckAllTest(unittest.TestCase):
+    """Guards against a wait on each of many links that failed together."""
+
+    def setUp(self):
+        self.fixture = PoolFixture(max_links=9)
+        self.made = {}
+        for id in ("a", "b", "c"):
+            request, _ = self.fixture.open(id)
+            self.made[id] = self.fixture.connect()
+            request.cancel()
+            self._answer(id)
+
+    def _answer(self, id):
+        pong = codec.encode(codec.Pong(0))
+        self.made[id].stringReceived(pong)
+        self.made[id].transport.clear()
+
+    def _advance(self, seconds):
+        self.fixture.reactor.pump([0.05] * round(seconds / 0.05))
+
+    def test_idle_links_are_checked_when_one_is_silent(self):
+        self._advance(5.0)
+        self.fixture.open("a")
+        self._advance(0.85)
+        self.assertTrue(self.made["a"].suspect)
+        self._answer("b")
+        self._advance(0.3)
+        hosts = [host for host, _, _ in self.fixture.reactor.attempts]
+        self.assertEqual(hosts, ["a", "b", "c", "a", "c"])
+
+    def test_answered_links_cost_no_pings(self):
+        self._advance(5.0)
+        request, _ = self.fixture.open("a")
+        request.cancel()
+        self._answer("a")
+        for made in self.made.values():
+            made.transport.clear()
+        self._advance(5.0)
+        for made in self.made.values():
+            self.assertEqual(made.transport.value(), b"")
+
+
 class RelayTest(unittest.TestCase):
     """Guards against streams that are relayed more than once.
 
