Send the second copy of a read as soon as its path is suspect

Cause: nothing told the entry that the link of a running request was suspect; only requests without a confirmation were ended.

Change: a suspect link tells the response sinks of its open requests. An entry sends the second copy that it has planned at once, from the same budget. What may run once, or has no second copy planned, is left as it is.

Shown by tests.edge.test_hedge.EligibilityTest .test_read_on_a_suspect_path_is_hedged_at_once, of which the read failed before, and tests.peer.test_pool.SuspectLinkTest.test_request_on_a_suspect_link.

--- a/src/cicadafront/edge/attempt.py
+++ b/src/cicadafront/edge/attempt.py
@@ -44,6 +44,9 @@
     def attempt_granted(self, attempt: "Attempt") -> None:
         """Called when the agent may run the request and accepts its body."""
 
+    def attempt_path_suspected(self, attempt: "Attempt") -> None:
+        """Called when the instance of the agent may be cut off."""
+
 
 class Attempt:
     """Receives the response of one attempt.
@@ -113,6 +116,11 @@
         self.request.go()
         self._parent.attempt_granted(self)
 
+    def path_suspected(self) -> None:
+        """Handles a sign that the instance of the agent may be cut off."""
+        if not self.done:
+            self._parent.attempt_path_suspected(self)
+
     def _grant_timed_out(self) -> None:
         """Fails the attempt; an unconfirmed request does not run."""
         if self.done or self.request is None:
@@ -237,3 +245,6 @@
 
     def attempt_granted(self, attempt: Attempt) -> None:
         pass
+
+    def attempt_path_suspected(self, attempt: Attempt) -> None:
+        pass
--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -230,6 +230,12 @@
         """
         self._send_body(attempt)
 
+    def attempt_path_suspected(self, attempt: attempt.Attempt) -> None:
+        """Sends the planned hedge at once."""
+        if self._hedge_timer is not None and self._hedge_timer.active():
+            self._hedge_timer.cancel()
+            self._start_hedge()
+
     # Hedges.
 
     def _plan_hedge(self) -> None:
--- a/src/cicadafront/edge/caller_response.py
+++ b/src/cicadafront/edge/caller_response.py
@@ -64,6 +64,9 @@
     def granted(self) -> None:
         """Does nothing: grants concern only the edge and the agent."""
 
+    def path_suspected(self) -> None:
+        """Does nothing: paths concern only the edge and the agent."""
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         """Writes the head."""
         if self._stale(repeated=self.head_sent):
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -424,6 +424,9 @@
     def granted(self) -> None:
         pass
 
+    def path_suspected(self) -> None:
+        pass
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         pass
 
--- a/src/cicadafront/peer/exchange.py
+++ b/src/cicadafront/peer/exchange.py
@@ -109,6 +109,9 @@
     def granted(self) -> None:
         """Reports that the request has a slot and waits for `go`."""
 
+    def path_suspected(self) -> None:
+        """Reports that the instance that runs the request may be cut off."""
+
     def head(self, head: model.ResponseHead, load: Load) -> None:
         """Receives the head of the response and the load of the target."""
 
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -147,6 +147,8 @@
         """
         if self._unconfirmed:
             self.abort(error)
+        elif not self._closed:
+            self._response.path_suspected()
 
     def _body(self, data: bytes) -> None:
         if self._receive_window.received(len(data)):
@@ -219,6 +221,9 @@
             case _:
                 self._link.drop(frame)
 
+    def path_suspected(self) -> None:
+        """Does nothing; only the entry sends a request to another agent."""
+
     def lost(self, error: errors.RequestError) -> None:
         """Cancels the exchange because the link was lost."""
         if not self._closed:
--- a/tests/edge/test_hedge.py
+++ b/tests/edge/test_hedge.py
@@ -133,6 +133,23 @@
         read.clock.advance(DELAY)
         self.assertEqual(len(read.chosen), 1)
 
+    @parameterized.expand(
+        [
+            ("read", {}, 2),
+            ("not a read", {"method": "POST"}, 1),
+            ("no budget", {"left": 0}, 1),
+        ]
+    )
+    def test_read_on_a_suspect_path_is_hedged_at_once(
+        self, _name, fields, expected
+    ):
+        read = Read(**fields)
+        for _ in range(2):
+            read.opener.opened[0][2].path_suspected()
+            self.assertEqual(len(read.chosen), expected)
+        read.clock.advance(DELAY)
+        self.assertEqual(len(read.chosen), expected)
+
     def test_no_hedge_after_the_head(self):
         read = Read()
         read.head(0)
--- a/tests/peer/test_pool.py
+++ b/tests/peer/test_pool.py
@@ -216,6 +216,7 @@
             request.go()
         self._advance(seconds - 0.2)
         self.assertEqual(response.events, [])
+        self.assertEqual(response.suspected, seconds > 1)
         self._advance(0.2)
         self.assertEqual(response.events, [expected])
 
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -42,6 +42,7 @@
     Attributes:
         events: Statuses, chunks of the body, the end or errors, in order.
         taken: Bytes of the request body reported as consumed.
+        suspected: Whether the path was reported as suspect.
         continue_requested: Whether a 100 Continue was to be sent.
         error: Error that ended the exchange.
     """
@@ -49,12 +50,16 @@
     def __init__(self) -> None:
         self.events: list[Any] = []
         self.taken = 0
+        self.suspected = False
         self.continue_requested = False
         self.error: errors.RequestError | None = None
 
     def send_continue(self) -> None:
         self.continue_requested = True
 
+    def path_suspected(self) -> None:
+        self.suspected = True
+
     def head(self, head: model.ResponseHead, load: exchange.Load) -> None:
         self.events.append(head.status)
 
