Ask the coordinator whose path works, and end its backoff when it does

Cause: a call to a coordinator over a suspect link waited its 0.15 s before the standby was asked, and a coordinator that had not answered was left out for 1 s, also when its path worked again after 0.4 s.

Change: of the coordinators that are not left out, one whose path works is asked first. A path that is reported to work ends the backoff of its instance.

Shown by tests.limits.test_shares.SharesTest .test_coordinator_behind_a_failing_path_is_asked_last and .test_backoff_ends_when_the_path_works, which could not be run before (the tests use the two new parts).

--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -134,6 +134,7 @@
         size: Returns a lower bound of the number of instances.
         settling: Returns whether this instance has started so recently that
             it may know only part of the fleet.
+        usable: Returns whether the path to an instance works.
     """
 
     def __init__(
@@ -147,6 +148,7 @@
         limit_of: coordinators.LimitOf = coordinators.configured_limit,
         size: Callable[[], int] = lambda: 1,
         settling: Callable[[], bool] = lambda: False,
+        usable: Callable[[str], bool] = lambda instance: True,
     ):
         self.counts: collections.Counter[str] = collections.Counter()
         self._own_id = own_id
@@ -157,6 +159,7 @@
         self._isolated = isolated
         self._size = size
         self._settling = settling
+        self._usable = usable
         self._limit_of = limit_of
         self._coordinator = coordinators.Coordinator(limit_of)
         self._credits: dict[str, _Credit] = {}
@@ -230,6 +233,10 @@
         else:
             self._request_tokens(coordinator, account, demand)
 
+    def path_works(self, instance: str) -> None:
+        """Ends the backoff of a coordinator that can be reached again."""
+        self._backoff_until.pop(instance, None)
+
     def seconds_until_tokens(self, account: str) -> float:
         """Returns the seconds until an account has tokens.
 
@@ -245,10 +252,15 @@
             self._ranked[account] = coordinators.select(
                 account, self._live_instances()
             )
-        for found in self._ranked[account]:
-            if now >= self._backoff_until.get(found, 0.0):
+        answering = [
+            found
+            for found in self._ranked[account]
+            if now >= self._backoff_until.get(found, 0.0)
+        ]
+        for found in answering:
+            if found == self._own_id or self._usable(found):
                 return found
-        return None
+        return answering[0] if answering else None
 
     def _request_tokens(
         self,
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -240,6 +240,7 @@
             self._limit,
             lambda: len(self.gossip.seeds) + 1,
             self._is_settling,
+            lambda id: self._instance_usable(self.reactor.seconds(), id),
         )
         self.paths = paths.Paths(self.rng)
         self.picker = picker.Picker(
@@ -300,6 +301,7 @@
         now = self.reactor.seconds()
         if works:
             self.paths.frame_received(now, instance)
+            self.admission.path_works(instance)
         else:
             self.paths.open_failed(now, instance)
 
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -33,6 +33,8 @@
         self.handlers = {}
         self.calls = 0
         self.limit_of = limit_of
+        # Instances whose path counts as failing.
+        self.unusable = set()
         self.members = {}
         for name in names:
             self.add(name)
@@ -48,6 +50,7 @@
             lambda id: self.account,
             lambda: name in self.isolated,
             self.limit_of,
+            usable=lambda instance: instance not in self.unusable,
         )
 
     def ask(self, name, accept):
@@ -159,6 +162,42 @@
             counts = fleet.members[fleet.coordinator].counts
             self.assertEqual(refused, counts["share_refused"])
 
+    @parameterized.expand(
+        [("both paths work", 0), ("path to the first one fails", 1)]
+    )
+    def test_coordinator_behind_a_failing_path_is_asked_last(
+        self, _name, failing
+    ):
+        fleet = FakeFleet()
+        ranked = [fleet.coordinator, fleet.standby]
+        other = next(name for name in NAMES if name not in ranked)
+        fleet.partitioned = {
+            frozenset((other, name)) for name in ranked[:failing]
+        }
+        fleet.unusable = set(ranked[:failing])
+        found = []
+        fleet.ask(other, found.append)
+        fleet.clock.advance(0.01)
+        self.assertEqual(found, [True])
+
+    @parameterized.expand([("path still fails", False), ("path works", True)])
+    def test_backoff_ends_when_the_path_works(self, _name, works):
+        fleet = FakeFleet()
+        other = next(
+            name
+            for name in NAMES
+            if name not in (fleet.coordinator, fleet.standby)
+        )
+        fleet.isolated = {fleet.coordinator, fleet.standby}
+        fleet.ask(other, lambda _: None)
+        fleet.clock.pump([0.05] * 9)
+        fleet.isolated = set()
+        if works:
+            fleet.members[other].path_works(fleet.coordinator)
+        calls = fleet.calls
+        fleet.ask(other, lambda _: None)
+        self.assertEqual(fleet.calls - calls, works)
+
     def test_fifth_of_the_instances_isolated(self):
         fleet = FakeFleet()
         coordinating = {fleet.coordinator, fleet.standby}
