Close all idle connections to the store when a call gets no answer

Cause: a call without an answer closed its own connection only.

Change: it closes the idle ones too, so that the next read opens a new one.

Shown by tests.platform.test_http.IdleConnectionTest (2 cases, both failed before).

--- a/src/cicadafront/platform/http.py
+++ b/src/cicadafront/platform/http.py
@@ -162,6 +162,9 @@
 
     def _release_connection(self, result: Any, call: _Call) -> Any:
         conn, call.connection = call.connection, None
+        if not isinstance(result, Reply):
+            # Connections often fail together.
+            self.close()
         if conn is None:
             return result
         succeeded = isinstance(result, Reply) and 200 <= result.status < 300
