Close accepted links whose peer is gone without a word

Cause: only the side that opens a link closes it when it is idle.

Change: an accepted link on which nothing is open and no frame has come for 15 s longer than its peer keeps idle links is closed. It costs no pings.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -18,6 +18,8 @@
 from cicadafront.telemetry import tracing
 
 IDLE_CHECK_SECONDS = 5.0
+# Time without a frame after which an idle accepted link is closed.
+ACCEPTED_IDLE_SECONDS = pool.IDLE_SECONDS + 3 * IDLE_CHECK_SECONDS
 
 
 @attrs.define
@@ -115,6 +117,7 @@
         counts: Event counters of all components.
         agent: Runs requests at the local targets.
         calls: Calls to and from other instances.
+        peer_links: Factory of the links that other instances open.
         tree: Starts and stops the components.
     """
 
@@ -182,7 +185,7 @@
             handlers,
             connect_seconds=settings.connect_seconds,
         )
-        self._peers = _PeerFactory(link_context)
+        self.peer_links = _PeerFactory(link_context)
 
     def _build_edge(self) -> None:
         fleet = self._fleet
@@ -246,7 +249,7 @@
         self._fleet.metrics.total_by("events", "event", lambda: self.counts)
         self._fleet.metrics.gauge("links_opened", lambda: len(self.calls))
         self._fleet.metrics.gauge(
-            "links_accepted", lambda: len(self._peers.links)
+            "links_accepted", lambda: len(self.peer_links.links)
         )
         self._fleet.metrics.gauge(
             "running_exchanges", lambda: len(self.agent.running)
@@ -257,7 +260,7 @@
             "peer listener",
             self._reactor,
             self._settings.peer,
-            self._peers,
+            self.peer_links,
             self._rng,
         )
         self._edge_listener = supervisor.Listener(
@@ -274,7 +277,7 @@
         self.tree.add(
             loops.Loop(
                 "idle link check",
-                self.calls.close_idle,
+                self.close_idle_links,
                 loops.periodic(IDLE_CHECK_SECONDS),
                 self._reactor,
                 self._rng,
@@ -284,6 +287,15 @@
             self.tree.add(component)
         self.tree.add(self._edge_listener)
 
+    def close_idle_links(self) -> None:
+        """Closes idle links, and accepted ones whose peer is gone."""
+        self.calls.close_idle()
+        # The peer closes an idle link; one that outlives this has no peer.
+        limit = self._reactor.seconds() - ACCEPTED_IDLE_SECONDS
+        for accepted in list(self.peer_links.links):
+            if not accepted.busy and accepted.last_used <= limit:
+                accepted.close()
+
     def _build_stop(self) -> None:
         self._stop = planned_stop.PlannedStop(
             reactor=self._reactor,
@@ -293,7 +305,7 @@
             forwarder=self._forwarder,
             edge=self._edge,
             edge_listener=self._edge_listener,
-            links=self._peers.links,
+            links=self.peer_links.links,
             calls=self.calls,
             tree=self.tree,
             counts=self.counts,
