Judge a request at its deadline by its age, not as an error

Fewer targets then carry the load of all.

Cause: a target answers 504 at the deadline that it is told. Each such answer, and each deadline that passes, counted as a failure of the target, also where the limit of the route is below the usual time of its requests. A trial that ended so doubled the pause until the next one.

Change: the agent reports a 504 at the deadline as a deadline that has passed, and the circuit breaker weighs such a request by its age against the usual time, as it does with cancelled ones. Below that it shows nothing, and a trial is repeated at once.

--- a/src/cicadafront/agent/run.py
+++ b/src/cicadafront/agent/run.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import http
 import itertools
 import random
 from typing import Any, Protocol
@@ -23,6 +24,9 @@
 # An entry confirms within a few milliseconds. A slot is not held longer for an
 # entry that is disconnected.
 GO_TIMEOUT_SECONDS = 0.3
+# A target is told its deadline in whole milliseconds, and may answer as soon as
+# it has passed by its own clock.
+DEADLINE_SLACK_SECONDS = 0.02
 # Failures that may be crashes. They are reported to the caller only after the
 # other instances have been notified, so that the caller cannot resend the
 # request to an instance that does not know of the crash yet.
@@ -115,7 +119,7 @@
         self._buffered_body: list[bytes] = []
         self._refusal: model.ResponseHead | None = None
         self._refusal_bytes_left = verify.MAX_BUFFERED_BYTES
-        self._completed = observer.Completed(0, 0.0)
+        self._completed: observer.Outcome = observer.Completed(0, 0.0)
         self._check = verify.ResponseCheck(
             self._exchange_id(), request.head.method, agent.wire_dialect
         )
@@ -319,13 +323,21 @@
         self._trace.head_received(head.status)
         self._start_observation()
         now = self._agent.clock.seconds()
-        self._completed = observer.Completed(
-            head.status, now - self._handed_over_at
-        )
+        self._completed = self._outcome(head.status, now)
         self._head = checked
         if not self._check.buffered:
             self._forward_head(now)
 
+    def _outcome(self, status: int, now: float) -> observer.Outcome:
+        """Returns the outcome of an exchange with this response head."""
+        seconds = now - self._handed_over_at
+        if (
+            status == http.HTTPStatus.GATEWAY_TIMEOUT
+            and now >= self._deadline - DEADLINE_SLACK_SECONDS
+        ):
+            return observer.Stalled(seconds)
+        return observer.Completed(status, seconds)
+
     def _shed(self, head: model.ResponseHead) -> None:
         """Ends an exchange whose request the target refused to run."""
         self._close(observer.Shed(head.status), errors.TargetShedError.code)
@@ -371,7 +383,7 @@
         if not self._head_forwarded:
             self._forward_head(self._agent.clock.seconds())
             self._response.body(b"".join(self._buffered_body))
-        outcome: observer.Outcome = self._completed
+        outcome = self._completed
         if mangled:
             self._trace.target_failed("mangled")
             outcome = observer.Failed("mangled")
--- a/src/cicadafront/health/target_breaker.py
+++ b/src/cicadafront/health/target_breaker.py
@@ -176,15 +176,24 @@
             self.reasons["shed"] += 1
             self._add(now, SHED_EVIDENCE)
 
-    def cancelled(self, now: float, request: InFlightRequest) -> None:
-        """Records a request that its client or its entry cancelled."""
+    def cut_short(
+        self, now: float, request: InFlightRequest, reason: str
+    ) -> None:
+        """Records a request that its client, entry or deadline ended.
+
+        Its evidence depends on how late it was: a deadline can be shorter than
+        the usual time of the request.
+        """
         if request not in self.running:
             return
         late = self._lateness(now, request)
         self.running.discard(request)
         if late:
-            self.reasons["cancelled_late"] += 1
+            self.reasons[reason] += 1
             self._add(now, late)
+        elif self.suspended:
+            # The trial has shown nothing.
+            self._trial_due = now
 
     def state(self, now: float) -> BreakerState:
         """Returns the state, after suspending the target if necessary."""
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -10,6 +10,7 @@
 that its decisions follow from the requests that actually run at the target.
 """
 
+import http
 import math
 from collections.abc import Callable
 from typing import Any
@@ -202,6 +203,9 @@
         """
         if not isinstance(token, _Token):
             return
+        if status == http.HTTPStatus.GATEWAY_TIMEOUT:
+            # `finished` reports whether it came at the deadline.
+            return
         if status >= _SERVER_ERROR:
             token.local.breaker.server_error(now, token.run, status)
         else:
@@ -223,14 +227,14 @@
             case observer.Failed(kind):
                 breaker.failed(now, run, kind)
             case observer.Stalled() if not run.answered:
-                breaker.failed(now, run, "deadline")
+                breaker.cut_short(now, run, "deadline")
             case observer.Shed(status):
                 breaker.shed(now, run)
                 self._shed(token.running.target, status)
             case _:
                 # The caller disconnected, or reads the rest of a good response
                 # slowly.
-                breaker.cancelled(now, run)
+                breaker.cut_short(now, run, "cancelled_late")
 
     def mangled(self, now: float, target: str) -> None:
         """Ignores unsolicited data: a late response is no sign of a stall."""
--- a/tests/agent/test_agent.py
+++ b/tests/agent/test_agent.py
@@ -299,6 +299,22 @@
         self.assertIsInstance(fixture.watcher.outcomes[0], observer.Stalled)
         self.assertEqual(fixture.queue.load("t"), exchange.Load())
 
+    @parameterized.expand(
+        [
+            ("early", 0.5, 504, observer.Completed(504, 0.5)),
+            ("at the deadline", 0.995, 504, observer.Stalled(0.995)),
+            ("other error", 0.995, 500, observer.Completed(500, 0.995)),
+        ]
+    )
+    def test_gateway_timeout_of_the_target(self, _name, age, status, outcome):
+        fixture = AgentFixture()
+        sink, response = fixture.open(timeout=1.0)
+        sink.end()
+        fixture.clock.advance(age)
+        fixture.receive(b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status)
+        self.assertEqual(response.events[0], status)
+        self.assertEqual(fixture.watcher.outcomes, [outcome])
+
     def test_slots_and_queue_are_limits(self):
         fixture = AgentFixture(slots=2)
         ends = [fixture.open() for _ in range(5)]
--- a/tests/health/test_target_breaker.py
+++ b/tests/health/test_target_breaker.py
@@ -85,18 +85,30 @@
                 self.breaker.succeeded(now + 0.05, run)
             self.assertIsNot(self.breaker.state(now + 0.06), SUSPENDED)
 
-    def test_cancelled_late_requests(self):
+    @parameterized.expand([("cancelled_late",), ("deadline",)])
+    def test_late_requests_that_were_cut_short(self, reason):
         for run in self.stall(0.0, 2):
-            self.breaker.cancelled(
-                1.1 * target_breaker.STALL_FACTOR * USUAL, run
+            self.breaker.cut_short(
+                1.1 * target_breaker.STALL_FACTOR * USUAL, run, reason
             )
         self.assertTrue(self.breaker.suspended)
+        self.assertEqual(self.breaker.reasons, {reason: 2})
 
-    def test_cancelled_requests_that_were_not_late(self):
+    def test_requests_that_were_cut_short_in_time(self):
         for run in self.stall(0.0, 9):
-            self.breaker.cancelled(0.01, run)
+            self.breaker.cut_short(0.01, run, "deadline")
         self.assertIs(self.breaker.state(0.02), TRUSTED)
 
+    def test_trial_that_was_cut_short_is_repeated(self):
+        for run in self.stall(0.0, 2):
+            self.breaker.failed(0.0, run, "closed")
+        now = target_breaker.MIN_TRIAL_DELAY_SECONDS
+        trial = self.start(now)
+        self.assertFalse(self.breaker.allows_trial(now))
+        self.breaker.cut_short(now + 0.01, trial, "deadline")
+        self.assertTrue(self.breaker.allows_trial(now + 0.01))
+        self.assertTrue(self.breaker.suspended)
+
     def test_trials_end_a_suspension(self):
         for run in self.stall(0.0, 2):
             self.breaker.failed(0.0, run, "closed")
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -266,6 +266,34 @@
             work.answer(status if wrong else 200, end)
         self.assertEqual(breaker.suspended, suspended)
 
+    @parameterized.expand(
+        [
+            ("limit below the usual time", 0.8 * USUAL, False),
+            (
+                "limit of a stall",
+                1.1 * target_breaker.STALL_FACTOR * USUAL,
+                True,
+            ),
+        ]
+    )
+    def test_suspension_by_requests_that_reach_their_deadline(
+        self, _name, limit, suspended
+    ):
+        submitted = [self.simulation.work(insist=PLACE) for _ in range(2)]
+        self.simulation.clock.advance(limit)
+        for work in submitted:
+            work.answer(504, observer.Stalled(limit))
+        breaker = self.simulation.gate._local_target("t1").breaker
+        self.assertEqual(breaker.suspended, suspended)
+
+    def test_suspension_by_early_gateway_timeouts(self):
+        for _ in range(3):
+            work = self.simulation.work(insist=ANY)
+            self.simulation.clock.advance(0.05)
+            work.answer(504, observer.Completed(504, 0.05))
+        breaker = self.simulation.gate._local_target("t1").breaker
+        self.assertTrue(breaker.suspended)
+
     def test_suspect_runs_alone(self):
         fingerprint = b"x"
         simulation = Simulation(
