Do not blame a target for the requests that it depends on

When a called service is in trouble, the targets of its callers are suspended too, and the others carry their load.

Cause: the circuit breaker knows the age and the status of a request, not what the target waits for. Its calls go through the same instance, which did not relate the two.

Change: the entry reports requests without a key, which the local target may have sent. A failed one, or one that is late and still open, explains one server error of a request that ran then: it shows nothing about the target. Time during which such a request is later than its objective does not count as age.

--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -13,6 +13,7 @@
 from cicadafront.config import model as config_model
 from cicadafront.daemon import local, options, planned_stop, supervisor
 from cicadafront.edge import dependencies, forward, policies, server
+from cicadafront.health import downstream as downstream_module
 from cicadafront.peer import codec, exchange, link, pool
 from cicadafront.telemetry import metrics as metrics_module
 from cicadafront.telemetry import tracing
@@ -58,6 +59,7 @@
         local_service: Returns the service of the local target.
         repeated_share: Returns the share, from 0 to 1, of the requests at the
             local target that have been sent to another target before.
+        downstream: Requests that the local targets send to other services.
     """
 
     directory: ports.Directory
@@ -92,6 +94,9 @@
     dispatch: policies.DispatchPolicy = policies.DispatchPolicy()
     local_service: Callable[[], str] = lambda: ""
     repeated_share: Callable[[], float] = lambda: 0.0
+    downstream: downstream_module.DownstreamRequests = attrs.field(
+        factory=downstream_module.DownstreamRequests
+    )
 
 
 FleetBuilder = Callable[[ports.PeerCalls], Fleet]
@@ -214,6 +219,7 @@
             data_centre=self._settings.data_centre,
             local_service=fleet.local_service,
             repeated_share=fleet.repeated_share,
+            downstream=fleet.downstream,
             rng=self._rng,
             stopping=self._shutdown,
         )
--- a/src/cicadafront/edge/dependencies.py
+++ b/src/cicadafront/edge/dependencies.py
@@ -10,6 +10,7 @@
 from cicadafront import dialect, model, ports, shutdown
 from cicadafront.config import model as config_model
 from cicadafront.edge import policies
+from cicadafront.health import downstream as downstream_module
 from cicadafront.peer import exchange
 from cicadafront.telemetry import metrics as metrics_module
 from cicadafront.telemetry import tracing
@@ -42,6 +43,7 @@
         local_service: Returns the service of the local target.
         repeated_share: Returns the share, from 0 to 1, of the requests at the
             local target that have been sent to another target before.
+        downstream: Requests that the local targets send to other services.
         rng: Random number generator.
         stopping: Planned stop of this instance.
     """
@@ -74,5 +76,8 @@
     data_centre: str = ""
     local_service: Callable[[], str] = lambda: ""
     repeated_share: Callable[[], float] = lambda: 0.0
+    downstream: downstream_module.DownstreamRequests = attrs.field(
+        factory=downstream_module.DownstreamRequests
+    )
     rng: random.Random = attrs.field(factory=random.Random)
     stopping: shutdown.Shutdown = attrs.field(factory=shutdown.Shutdown)
--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -1,6 +1,7 @@
 """Forwarding of requests from callers to targets."""
 
 import enum
+import http
 from collections.abc import Callable
 from typing import Any
 
@@ -17,6 +18,7 @@
     request_trace,
     resolved_request,
 )
+from cicadafront.health import downstream
 from cicadafront.peer import exchange
 
 # Seconds after the deadline in which the agent may still report its outcome.
@@ -90,6 +92,8 @@
         self._recorder: buffers.ResponseRecorder | None = None
         self._unconsumed = 0
         self._token = ""
+        self._downstream: downstream.DownstreamRequest | None = None
+        self._served = False
 
     # Before the first attempt.
 
@@ -103,6 +107,7 @@
             self._fail(error)
             return
         trace.record_route(self._resolved)
+        self._track_downstream()
         self._token = token
         timeout = self._resolved.timeout
         self._last_read_at = self._deps.clock.seconds()
@@ -118,6 +123,16 @@
         admitted.addCallback(self._admitted)
         admitted.addErrback(self._preparation_failed)
 
+    def _track_downstream(self) -> None:
+        """Tracks a request that the local target may have sent.
+
+        Targets send their requests without a key.
+        """
+        if self._resolved.account is None:
+            self._downstream = self._deps.downstream.begin(
+                self._deps.clock.seconds(), self._resolved.route.objective
+            )
+
     def _admitted(self, _: object) -> None:
         if self._phase is _Phase.ADMITTING:
             self._phase = _Phase.BUFFERING_BODY
@@ -228,6 +243,7 @@
         if self._ticket is not None:
             self._recorder = buffers.ResponseRecorder(head)
         self._trace.record_head(head.status)
+        self._served = head.status < http.HTTPStatus.BAD_REQUEST
         self._caller.head(head, load)
 
     def response_body(self, data: bytes) -> None:
@@ -381,6 +397,7 @@
             error, executed, self._deps.wire_dialect.fractional_waits
         )
         self._trace.record_error(error)
+        self._served = False
         self._finish()
         self._caller.fail(error, exchange.Load())
 
@@ -406,6 +423,9 @@
 
     def _finish(self) -> None:
         self._phase = _Phase.DONE
+        if self._downstream is not None:
+            now = self._deps.clock.seconds()
+            self._deps.downstream.end(now, self._downstream, self._served)
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._trace.finish()
--- a/src/cicadafront/health/target_breaker.py
+++ b/src/cicadafront/health/target_breaker.py
@@ -12,6 +12,7 @@
 
 import collections
 import enum
+from collections.abc import Callable
 
 import attrs
 
@@ -69,12 +70,14 @@
         started: Time at which it was sent, in seconds.
         expected_seconds: Expected latency, in seconds.
         objective: Latency objective of its route, in seconds.
+        excused: Excused seconds of all requests at the start.
         answered: Whether the head of a successful response has arrived.
     """
 
     started: float
     expected_seconds: float
     objective: float
+    excused: float = 0.0
     answered: bool = False
 
 
@@ -99,6 +102,8 @@
 
     Args:
         expected_latency: Expected latencies, shared by the targets.
+        excused: Returns for how many seconds, in total until a time, running
+            requests may have waited for something other than the target.
 
     Attributes:
         running: Requests that are in flight at the target.
@@ -106,10 +111,15 @@
         reasons: Number of failures by reason.
     """
 
-    def __init__(self, expected_latency: ExpectedLatency):
+    def __init__(
+        self,
+        expected_latency: ExpectedLatency,
+        excused: Callable[[float], float] = lambda now: 0.0,
+    ):
         self.running: set[InFlightRequest] = set()
         self.suspended = False
         self._expected = expected_latency
+        self._excused = excused
         self._evidence = 0.0
         self._decayed_at = 0.0
         self._last_success = float("-inf")
@@ -123,7 +133,10 @@
     def start(self, now: float, objective: float) -> InFlightRequest:
         """Records a request that is sent to the target."""
         request = InFlightRequest(
-            now, self._expected.seconds(objective), objective
+            now,
+            self._expected.seconds(objective),
+            objective,
+            self._excused(now),
         )
         self.running.add(request)
         if self.suspended:
@@ -169,6 +182,16 @@
             self.reasons[f"status_{status}"] += 1
             self._add(now, ERROR_EVIDENCE)
 
+    def inconclusive(self, now: float, request: InFlightRequest) -> None:
+        """Records the end of a request that says nothing about the target."""
+        if request in self.running:
+            self.running.discard(request)
+            self._repeat_trial(now)
+
+    def _repeat_trial(self, now: float) -> None:
+        if self.suspended:
+            self._trial_due = now
+
     def shed(self, now: float, request: InFlightRequest) -> None:
         """Records a request that the target refused to run."""
         if request in self.running:
@@ -191,9 +214,8 @@
         if late:
             self.reasons[reason] += 1
             self._add(now, late)
-        elif self.suspended:
-            # The trial has shown nothing.
-            self._trial_due = now
+        else:
+            self._repeat_trial(now)
 
     def state(self, now: float) -> BreakerState:
         """Returns the state, after suspending the target if necessary."""
@@ -226,7 +248,7 @@
         """Returns whether a request is slow and no later one succeeded."""
         return any(
             self._last_success <= request.started
-            and now - request.started
+            and self._age(now, request)
             > max(MIN_LATE_SECONDS, SLOW_FACTOR * request.expected_seconds)
             for request in self.running
         )
@@ -235,9 +257,14 @@
         """Returns whether a suspended target may get a trial request."""
         return self.suspended and now >= self._trial_due
 
+    def _age(self, now: float, request: InFlightRequest) -> float:
+        """Returns for how long the target has had a request, in seconds."""
+        excused = self._excused(now) - request.excused
+        return now - request.started - excused
+
     def _lateness(self, now: float, request: InFlightRequest) -> float:
         """Returns the evidence of a running request, from 0 to 1."""
-        age = now - request.started
+        age = self._age(now, request)
         late = max(MIN_LATE_SECONDS, LATE_FACTOR * request.expected_seconds)
         if age < late:
             return 0.0
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -19,7 +19,7 @@
 
 from cicadafront import errors
 from cicadafront.agent import observer, queue
-from cicadafront.health import crashes, target_breaker
+from cicadafront.health import crashes, downstream, target_breaker
 from cicadafront.peer import exchange
 from cicadafront.telemetry import logs
 
@@ -75,6 +75,8 @@
             HTTP status of the refusal.
         may_repeat: Returns whether a request that another target has already
             received may run here. It may repeat its calls to other services.
+        downstream_requests: Requests that the local targets send to other
+            services.
     """
 
     def __init__(
@@ -84,12 +86,16 @@
         alone: Callable[[queue.Entry], bool] = lambda entry: False,
         shed: Callable[[str, int], None] = lambda target, status: None,
         may_repeat: Callable[[], bool] = lambda: True,
+        downstream_requests: downstream.DownstreamRequests | None = None,
     ):
         self._clock = clock
         self._crashes = crash_tracker
         self._alone = alone
         self._shed = shed
         self._may_repeat = may_repeat
+        self._downstream = (
+            downstream_requests or downstream.DownstreamRequests()
+        )
         self._usual = target_breaker.ExpectedLatency()
         self._targets: dict[str, _LocalTarget] = {}
         self._timer: Any = None
@@ -207,10 +213,20 @@
             # `finished` reports whether it came at the deadline.
             return
         if status >= _SERVER_ERROR:
-            token.local.breaker.server_error(now, token.run, status)
+            self._server_error(now, token, status)
         else:
             token.local.breaker.succeeded(now, token.run)
 
+    def _server_error(self, now: float, token: _Token, status: int) -> None:
+        breaker, run = token.local.breaker, token.run
+        if run not in breaker.running:
+            # The head has already been judged.
+            return
+        if self._downstream.explains_failure(now, run.started):
+            breaker.inconclusive(now, run)
+        else:
+            breaker.server_error(now, run, status)
+
     def finished(
         self, now: float, token: object, outcome: observer.Outcome
     ) -> None:
@@ -221,7 +237,7 @@
         breaker, run = token.local.breaker, token.run
         match outcome:
             case observer.Completed(status) if status >= _SERVER_ERROR:
-                breaker.server_error(now, run, status)
+                self._server_error(now, token, status)
             case observer.Completed():
                 breaker.succeeded(now, run)
             case observer.Failed(kind):
@@ -371,7 +387,11 @@
     def _local_target(self, target: str) -> _LocalTarget:
         local = self._targets.get(target)
         if local is None:
-            local = _LocalTarget(target_breaker.CircuitBreaker(self._usual))
+            local = _LocalTarget(
+                target_breaker.CircuitBreaker(
+                    self._usual, self._downstream.late_seconds
+                )
+            )
             self._targets[target] = local
         return local
 
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -11,7 +11,7 @@
 from cicadafront.config import model as config_model
 from cicadafront.daemon import options, root, supervisor
 from cicadafront.edge import policies, server
-from cicadafront.health import crashes, paths
+from cicadafront.health import crashes, downstream, paths
 from cicadafront.limits import coordinators, retries, shares
 from cicadafront.membership import (
     gossip,
@@ -214,12 +214,14 @@
             self.membership.broadcaster,
             self._probe_target,
         )
+        self.downstream = downstream.DownstreamRequests()
         self.gate = gate.Gate(
             self.reactor,
             self.crashes,
             alone=self._must_run_alone,
             shed=self._target_shed,
             may_repeat=lambda: self.budget.may_repeat(self.reactor.seconds()),
+            downstream_requests=self.downstream,
         )
         self.registry = heartbeat_registry.HeartbeatRegistry(
             self.gossip,
@@ -515,4 +517,5 @@
             dispatch=DISPATCH,
             local_service=self.local_service,
             repeated_share=self.gate.repeated_share,
+            downstream=self.downstream,
         )
--- a/tests/edge/test_forward.py
+++ b/tests/edge/test_forward.py
@@ -266,6 +266,32 @@
         self.assertEqual(edge.clock.getDelayedCalls(), [])
 
 
+class DownstreamTest(unittest.TestCase):
+    """Guards against targets that are blamed for what they depend on."""
+
+    @parameterized.expand(
+        [
+            ("served", lambda edge, _: edge.answer(), False),
+            ("failed", lambda edge, _: edge.fail(UNKNOWN), True),
+            ("cancelled", lambda edge, sink: sink.cancel(), True),
+            ("still running", lambda edge, _: None, False),
+        ]
+    )
+    def test_outcome_of_a_request_without_a_key(self, _name, end, failed):
+        edge = Edge()
+        sink, _ = edge.begin("/once")
+        end(edge, sink)
+        downstream = edge.edge_dependencies.downstream
+        self.assertEqual(downstream.explains_failure(0.0, 0.0), failed)
+
+    def test_request_with_a_key_comes_from_a_caller(self):
+        edge = Edge()
+        edge.begin("/keyed", token=WithdrawnKeyTest.TOKEN)
+        edge.fail(UNKNOWN)
+        downstream = edge.edge_dependencies.downstream
+        self.assertFalse(downstream.explains_failure(0.0, 0.0))
+
+
 class DeadlineTest(unittest.TestCase):
     """Guards against late responses and a wrong `executed` value.
 
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -8,7 +8,7 @@
 
 from cicadafront import model
 from cicadafront.agent import observer, queue
-from cicadafront.health import crashes, target_breaker
+from cicadafront.health import crashes, downstream, target_breaker
 from cicadafront.peer import exchange
 from cicadafront.routing import gate
 
@@ -90,12 +90,14 @@
         crashed = crashes.CrashTracker(
             self.clock, None, Broadcaster(), lambda target: defer.succeed(False)
         )
+        self.downstream = downstream.DownstreamRequests()
         self.gate = gate.Gate(
             self.clock,
             crashed,
             alone,
             shed=lambda *what: self.shed.append(what),
             may_repeat=may_repeat,
+            downstream_requests=self.downstream,
         )
 
     def work(self, **fields):
@@ -286,6 +288,35 @@
         breaker = self.simulation.gate._local_target("t1").breaker
         self.assertEqual(breaker.suspended, suspended)
 
+    @parameterized.expand(
+        [("by their own fault", True, True), ("by its calls", False, False)]
+    )
+    def test_suspension_by_failed_requests(self, _name, served, suspended):
+        for _ in range(4):
+            work = self.simulation.work(insist=ANY)
+            now = self.simulation.clock.seconds()
+            call = self.simulation.downstream.begin(now, OBJECTIVE)
+            self.simulation.clock.advance(0.05)
+            now = self.simulation.clock.seconds()
+            self.simulation.downstream.end(now, call, served)
+            work.answer(500)
+        breaker = self.simulation.gate._local_target("t1").breaker
+        self.assertEqual(breaker.suspended, suspended)
+
+    @parameterized.expand(
+        [("no call is late", None, True), ("its calls are late", 0.3, False)]
+    )
+    def test_suspension_by_requests_that_wait_for_calls(
+        self, _name, objective, suspended
+    ):
+        for _ in range(2):
+            self.simulation.work(insist=PLACE)
+        if objective is not None:
+            self.simulation.downstream.begin(0.0, objective)
+        self.simulation.clock.advance(1.1 * target_breaker.STALL_FACTOR * USUAL)
+        state = self.simulation.work(insist=PLACE).state
+        self.assertEqual(state == "target_doubted", suspended)
+
     def test_suspension_by_early_gateway_timeouts(self):
         for _ in range(3):
             work = self.simulation.work(insist=ANY)
