--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -48,6 +48,16 @@
             for downstream in list(self._open):
                 downstream.abort()
 
+    def forget(self, answers_only: bool) -> None:
+        """Drops all further bytes of the connections that are open now.
+
+        Args:
+            answers_only: Whether bytes towards the upstream still arrive.
+        """
+        for downstream in self._open:
+            downstream.loses_answers = True
+            downstream.loses_requests = not answers_only
+
     def close(self) -> Any:
         """Aborts all connections and stops listening."""
         for downstream in list(self._open):
@@ -89,6 +99,8 @@
         self.proxy = proxy
         self.upstream: _Upstream | None = None
         self.buffered: list[bytes] = []
+        self.loses_requests = False
+        self.loses_answers = False
 
     def connectionMade(self) -> None:  # noqa: N802
         self.proxy.track(self, True)
@@ -98,6 +110,8 @@
             self.proxy.connect(self)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.loses_requests:
+            return
         if self.upstream is None:
             self.buffered.append(data)
         else:
@@ -125,7 +139,8 @@
             self.downstream.proxy.forward(self, data, False)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.downstream.proxy.forward(self.downstream, data, True)
+        if not self.downstream.loses_answers:
+            self.downstream.proxy.forward(self.downstream, data, True)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         if self.downstream.transport is not None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -46,6 +46,10 @@
 )
 # Kinds of faults that are planned operations.
 PLANNED_KINDS = frozenset({"stop", "hup", "change"})
+# Ways in which open connections go silent for good while new ones work.
+FORGETTING = ("FORGET", "FORGET_ANSWERS")
+# Time in which all uses of a silent connection must end.
+FORGOTTEN_SECONDS = 3.0
 # Range of the time from one planned stop to the next, in seconds.
 STOP_PAUSES = (1.0, 5.0)
 # Range of the time from one fault to the next, in seconds. Several faults are
@@ -108,6 +112,7 @@
         found += _additional_faults(group, seed, seconds)
     found += _store_faults(seed, seconds)
     found += _planned_stops(seed, seconds)
+    found += _forgotten_connections(seed, seconds)
     return sorted(found, key=lambda each: each.at)
 
 
@@ -143,7 +148,21 @@
         at += rng.uniform(*STOP_PAUSES)
 
 
+def _forgotten_connections(seed: int, seconds: float) -> Iterator[Fault]:
+    """Yields times at which open connections go silent for good."""
+    rng = random.Random(f"forgotten {seed}")
+    at = rng.uniform(1.0, 6.0)
+    while at < seconds:
+        kind = rng.choice(("store link", "target link"))
+        variant = rng.choice(FORGETTING)
+        index = rng.randrange(INSTANCES)
+        yield Fault(at, kind, index, FORGOTTEN_SECONDS, variant)
+        at += rng.uniform(1.0, 6.0)
+
+
 def _link_actions(link: proxy.Proxy, variant: str) -> tuple[Any, Any]:
+    if variant in FORGETTING:
+        return lambda: link.forget(variant == "FORGET_ANSWERS"), None
     if variant not in proxy.Mode.__members__:
         return None, None
     return (
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -181,6 +181,8 @@
         for variants in parties.ADDITIONAL_FAULTS.values():
             wanted |= {("target", variant) for variant in variants}
         wanted |= {("store", variant) for variant in parties.STORE_FAULTS}
+        for variant in run.FORGETTING:
+            wanted |= {("store link", variant), ("target link", variant)}
         self.assertEqual(kinds, wanted)
 
     def test_same_seed_gives_same_plan(self):
