Give a target that is not trusted a request in each 2 s

Cause: only requests can show that a target is well again. A doubted target that nothing ran at got none while others had room, until its evidence had decayed: on virtual time a stalled target got reads at 0.0, 4.4 and 10.0 s. A suspended one waited up to 4 s from the end of a failed trial.

Change: a doubted target at which nothing runs may get a read 1 s after its last request; the pause between trials of a suspended one is at most 1.5 s, from start to start. The window of 2 s is the operators'. Payments are not used as trials.

--- a/src/cicadafront/health/target_breaker.py
+++ b/src/cicadafront/health/target_breaker.py
@@ -46,10 +46,11 @@
 SUCCESS_DECAY = 0.6
 # Time constant of the decay of evidence; about the duration of a gray failure.
 DECAY_SECONDS = 4.0
-# Delay until a suspended target gets a trial request. The delay doubles with
-# each failed trial.
+# Delay until a doubted or suspended target gets a trial request. The delay of a
+# suspended one grows with each failed trial. Each target needs a request within
+# 2 s, or a recovered one counts as left out.
 MIN_TRIAL_DELAY_SECONDS = 1.0
-MAX_TRIAL_DELAY_SECONDS = 4.0
+MAX_TRIAL_DELAY_SECONDS = 1.5
 # Consecutive successful trials that end a suspension.
 TRIALS_REQUIRED = 2
 
@@ -126,6 +127,7 @@
         # Latest start time of a successful request.
         self._last_confirmed_start = float("-inf")
         self._trial_due = 0.0
+        self._last_start = float("-inf")
         self._trial_delay = MIN_TRIAL_DELAY_SECONDS
         self._trials_passed = 0
         self.reasons: collections.Counter[str] = collections.Counter()
@@ -139,6 +141,7 @@
             self._excused(now),
         )
         self.running.add(request)
+        self._last_start = now
         if self.suspended:
             self._trial_due = now + self._trial_delay
         return request
@@ -254,8 +257,11 @@
         )
 
     def allows_trial(self, now: float) -> bool:
-        """Returns whether a suspended target may get a trial request."""
-        return self.suspended and now >= self._trial_due
+        """Returns whether a target that is not trusted may get a request."""
+        if self.suspended:
+            return now >= self._trial_due
+        due = self._last_start + MIN_TRIAL_DELAY_SECONDS
+        return not self.running and now >= due
 
     def _age(self, now: float, request: InFlightRequest) -> float:
         """Returns for how long the target has had a request, in seconds."""
@@ -289,7 +295,7 @@
             self._trial_delay = min(
                 MAX_TRIAL_DELAY_SECONDS, 2 * self._trial_delay
             )
-            self._trial_due = now + self._trial_delay
+            self._trial_due = max(now, self._last_start + self._trial_delay)
         elif self._evidence >= SUSPEND_EVIDENCE:
             self._suspend(now)
 
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -313,6 +313,8 @@
         if entry.insist > exchange.REQUIRE_FREE_SLOT:
             return 0.0
         doubted = state is target_breaker.BreakerState.DOUBTED
+        if doubted and entry.repeatable and breaker.allows_trial(now):
+            return 0.0
         if doubted or (not entry.repeatable and breaker.has_slow_request(now)):
             return AVOID_DOUBTED_SECONDS
         return 0.0
--- a/tests/health/test_target_breaker.py
+++ b/tests/health/test_target_breaker.py
@@ -109,6 +109,16 @@
         self.assertTrue(self.breaker.allows_trial(now + 0.01))
         self.assertTrue(self.breaker.suspended)
 
+    @parameterized.expand([("idle", False, True), ("busy", True, False)])
+    def test_doubted_target_gets_a_trial(self, _name, busy, expected):
+        self.breaker.failed(0.0, self.start(0.0), "closed")
+        now = target_breaker.MIN_TRIAL_DELAY_SECONDS
+        self.assertIs(self.breaker.state(now), DOUBTED)
+        self.assertFalse(self.breaker.allows_trial(now - 0.1))
+        if busy:
+            self.start(0.0)
+        self.assertEqual(self.breaker.allows_trial(now), expected)
+
     def test_trials_end_a_suspension(self):
         for run in self.stall(0.0, 2):
             self.breaker.failed(0.0, run, "closed")
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -1,5 +1,6 @@
 """Tests of admission control at the agent, on virtual time."""
 
+import itertools
 import unittest
 
 import attrs
@@ -15,6 +16,8 @@
 OBJECTIVE = 1.0
 USUAL = OBJECTIVE * target_breaker.PRIOR_SHARE
 SLOT, PLACE, ANY = 0, 1, 2
+# Time in which each sound target of a service must get a request.
+FLOOR_WINDOW_SECONDS = 2.0
 
 
 class Broadcaster:
@@ -200,6 +203,24 @@
         work = self.simulation.work(repeatable=repeatable, insist=insist)
         self.assertEqual(work.state, expected)
 
+    def test_stalled_target_gets_a_trial_in_every_window(self):
+        started = []
+        for _ in range(300):
+            now = self.simulation.clock.seconds()
+            work = self.simulation.work(insist=SLOT, repeatable=True)
+            if work.state == "started":
+                started.append(now)
+                # Its entry gives the request up in favour of a hedge.
+                self.simulation.clock.callLater(
+                    1.0, work.end, observer.Cancelled()
+                )
+            self.simulation.clock.advance(0.05)
+        gaps = [
+            later - earlier for earlier, later in itertools.pairwise(started)
+        ]
+        self.assertLess(max(gaps), FLOOR_WINDOW_SECONDS)
+        self.assertLess(len(started), 20)
+
     def test_stalled_target_gets_few_non_repeatable_requests(self):
         states = []
         for _ in range(40):
