Count requests, not what passes in a time, in a test of planned stops

tests.daemon.test_stop.StopTest.test_no_request_is_lost_while_an_agent_leaves failed at a load average of 14 with "40 not greater than 100": it wanted more than 100 requests within the time that the stop happened to take, which says how fast the machine is, not whether a request is lost. Callers now go on until more than 100 requests have ended, however long that takes (60 s at most); all must still be 200.

--- a/tests/daemon/test_stop.py
+++ b/tests/daemon/test_stop.py
@@ -46,6 +46,12 @@
                 caller.close()
         caller.close()
 
+    def wait(self, count, seconds=60.0):
+        """Waits until more than `count` requests have ended."""
+        end = time.monotonic() + seconds
+        while self.results.total() <= count and time.monotonic() < end:
+            time.sleep(0.01)
+
     def stop(self):
         """Returns the number of requests by result."""
         self._stop.set()
@@ -118,6 +124,7 @@
         entry.command(do="leave", target="t1")
         self.assertEqual(leaving.wait(), 0)
         time.sleep(0.3)
+        load.wait(100)
         results = load.stop()
         self.assertGreater(results[200], 100)
         self.assertEqual(set(results), {200})
