--- a/src/cicadafront/health/target_breaker.py
+++ b/src/cicadafront/health/target_breaker.py
@@ -46,9 +46,9 @@
 SUCCESS_DECAY = 0.6
 # Time constant of the decay of evidence; about the duration of a gray failure.
 DECAY_SECONDS = 4.0
-# Delay until a doubted or suspended target gets a trial request. The delay of a
-# suspended one grows with each failed trial. Each target needs a request within
-# 2 s, or a recovered one counts as left out.
+# Delay until a doubted or suspended target gets a trial request. It grows with
+# each failed trial of a suspended target, but stays below 2 s: a target that
+# gets nothing for so long counts as left out.
 MIN_TRIAL_DELAY_SECONDS = 1.0
 MAX_TRIAL_DELAY_SECONDS = 1.5
 # Consecutive successful trials that end a suspension.
@@ -71,7 +71,7 @@
         started: Time at which it was sent, in seconds.
         expected_seconds: Expected latency, in seconds.
         objective: Latency objective of its route, in seconds.
-        excused: Excused seconds of all requests at the start.
+        excused: Total of the excused seconds when it was sent.
         answered: Whether the head of a successful response has arrived.
     """
 
@@ -192,6 +192,7 @@
             self._repeat_trial(now)
 
     def _repeat_trial(self, now: float) -> None:
+        """Allows a trial at once, because the last one showed nothing."""
         if self.suspended:
             self._trial_due = now
 
@@ -257,7 +258,7 @@
         )
 
     def allows_trial(self, now: float) -> bool:
-        """Returns whether a target that is not trusted may get a request."""
+        """Returns whether a doubted or suspended target may get a request."""
         if self.suspended:
             return now >= self._trial_due
         due = self._last_start + MIN_TRIAL_DELAY_SECONDS
--- a/src/cicadafront/peer/pool.py
+++ b/src/cicadafront/peer/pool.py
@@ -174,6 +174,7 @@
         self._links[new.peer] = new
 
     def _link_suspected(self, suspected: link.Link, late: bool) -> None:
+        """Replaces a suspect link, or uses it again when it has recovered."""
         current = self._links.get(suspected.peer)
         if late:
             if current is suspected:
--- a/src/cicadafront/peer/streams.py
+++ b/src/cicadafront/peer/streams.py
@@ -76,7 +76,7 @@
             link: Link that carries the stream.
             id: Id of the stream on the link.
             response: Receives the response.
-            opened_at: Time in seconds.
+            opened_at: Time of the opening, in seconds.
             confirm: Whether the agent runs the request only after `go`.
         """
         super().__init__(link, id)
