Tell apart tables in which two members changed alike

The digest of a bucket combines the digests of its records by XOR. These were CRCs, which are linear: when two members of a bucket went from version 1 to version 2, both differences were the same and cancelled out, so that the bucket looked equal. At the start of a fleet nearly all instances make the same step.

--- a/src/cicadafront/membership/records.py
+++ b/src/cicadafront/membership/records.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import hashlib
 import zlib
 
 import attrs
@@ -102,9 +103,7 @@
 
         Liveness is left out, since each instance judges it locally.
         """
-        return zlib.crc32(
-            f"{self.id}/{self.incarnation}/{self.version}".encode()
-        )
+        return _digest(f"{self.id}/{self.incarnation}/{self.version}")
 
 
 @attrs.frozen
@@ -146,13 +145,23 @@
 
     def digest(self) -> int:
         """Returns a hash of owner, incarnation, id and version."""
-        text = f"{self.owner}/{self.incarnation}/{self.id}/{self.version}"
-        return zlib.crc32(text.encode())
+        return _digest(
+            f"{self.owner}/{self.incarnation}/{self.id}/{self.version}"
+        )
 
 
 Record = InstanceRecord | TargetRecord
 
 
+def _digest(text: str) -> int:
+    """Returns a 32-bit hash whose values may be combined by XOR.
+
+    A CRC is linear: the same change of two texts would cancel out.
+    """
+    digest = hashlib.blake2s(text.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "little")
+
+
 def id_hash(id: str) -> int:
     """Returns the 32-bit hash that identifies an instance in digests."""
     return zlib.crc32(id.encode())
