Compare states at a pace that follows what is learned

A digest was exchanged each 1.5 s with at most 14 members, a byte rate set for 100 instances limited the answers, and state transfers and broadcasts came at times set by timers (3, 6 and 8 s), whatever had been announced by then.

Now a comparison repairs all differences at once, the next one follows after 0.2 s while comparisons bring new records and after up to 1.5 s otherwise, a record of which nothing was known earns the bytes to pass it on, and 7 of 10 comparisons stay within the data centre. A change is broadcast only while the fleet is calm; when many change at once the comparisons spread it. The timers, and the setting first_start, go. A search that fails is repeated within 1 s, a registration whose writes fail does not list again, and an outage that ends during a call no longer delays the entry by the pause after that call.

test_anti_entropy_repairs_missing_records expected no repair within 0.5 s after a block of the network; refutations of suspicions now hasten the comparison, so that it looks before the first datagram instead, and allows one interval for the repair instead of six.

--- a/src/cicadafront/loops.py
+++ b/src/cicadafront/loops.py
@@ -137,11 +137,6 @@
             self._next_call.cancel()
             self._schedule(delay)
 
-    @property
-    def busy(self) -> bool:
-        """Whether a run is in progress."""
-        return self._current_run is not None
-
     def give_up(self, why: str) -> None:
         """Cancels the current run, if any, and counts it as failed.
 
--- a/src/cicadafront/membership/antientropy.py
+++ b/src/cicadafront/membership/antientropy.py
@@ -1,10 +1,11 @@
 """Anti-entropy: repairs missing records by comparing digests with a peer.
 
-The two instances first compare bucket digests, then the member digests of some
-of the buckets that differ, then the record hashes of the members that differ.
+The two instances first compare bucket digests, then the member digests of the
+buckets that differ, then the record hashes of the members that differ.
 """
 
 import random
+from collections.abc import Iterable, Iterator
 
 from cicadafront.membership import messages, records, table
 
@@ -12,6 +13,8 @@
 # datagram.
 MAX_ENTRIES = 150
 MAX_ITEMS = 14
+# Datagrams that list the members of differing buckets in one exchange.
+MAX_SUMMARIES = 16
 # Record hashes listed for one member; later rounds repair the rest.
 MAX_HASHES_PER_MEMBER = 64
 _MAX_HASHES = 240
@@ -24,39 +27,48 @@
 
 def summarize(
     known: table.Table, theirs: messages.Digest, rng: random.Random
-) -> messages.Summary | None:
-    """Returns the member digests of differing buckets.
+) -> list[messages.Summary]:
+    """Returns the member digests of differing buckets, a datagram each.
 
-    Buckets are taken in random order, as many as fit into a datagram. Returns
-    None if no bucket differs or if the number of buckets does not match.
+    Buckets are taken in random order, so that those left out by the limit of
+    one exchange are found by a later one. The list is empty if no bucket
+    differs or if the number of buckets does not match.
     """
     if len(theirs.buckets) != table.BUCKETS:
-        return None
+        return []
     pairs = zip(known.buckets, theirs.buckets, strict=True)
     differing = [n for n, (mine, other) in enumerate(pairs) if mine != other]
     rng.shuffle(differing)
+    found: list[messages.Summary] = []
     listed: list[int] = []
     entries: dict[int, int] = {}
     for bucket in differing:
-        found = {
-            records.id_hash(member.record.id): member.digest
-            for member in known.bucket_members(bucket)
-        }
-        if listed and len(entries) + len(found) > MAX_ENTRIES:
-            continue
+        members = _member_digests(known, bucket)
+        if listed and len(entries) + len(members) > MAX_ENTRIES:
+            found.append(messages.Summary(tuple(listed), entries))
+            listed, entries = [], {}
         listed.append(bucket)
-        entries.update(list(found.items())[:MAX_ENTRIES])
-    return messages.Summary(tuple(listed), entries) if listed else None
+        entries.update(list(members.items())[:MAX_ENTRIES])
+    if listed:
+        found.append(messages.Summary(tuple(listed), entries))
+    return found[:MAX_SUMMARIES]
+
+
+def _member_digests(known: table.Table, bucket: int) -> dict[int, int]:
+    return {
+        records.id_hash(member.record.id): member.digest
+        for member in known.bucket_members(bucket)
+    }
 
 
 def compare(
     known: table.Table, summary: messages.Summary
-) -> tuple[messages.Fetch | None, list[records.Record]]:
+) -> tuple[list[messages.Fetch], list[records.Record]]:
     """Compares a peer's summary with the table.
 
     Returns:
-        The fetch to send, or None, and the records of dead instances that the
-        peer lists as running.
+        The fetches to send, a datagram each, and the records of dead instances
+        that the peer lists as running.
     """
     differing = [
         hash
@@ -74,14 +86,22 @@
         for hash in summary.entries
         if (member := known.by_hash(hash)) and member.record.id in known.dead
     ]
+    return list(_fetches(known, differing)), dead
+
+
+def _fetches(
+    known: table.Table, hashes: Iterable[int]
+) -> Iterator[messages.Fetch]:
     items: dict[int, tuple[int, ...]] = {}
     total = 0
-    for hash in differing[:MAX_ITEMS]:
+    for hash in hashes:
         items[hash] = _record_hashes(known.by_hash(hash))
         total += len(items[hash])
-        if total > _MAX_HASHES:
-            break
-    return (messages.Fetch(items) if items else None), dead
+        if len(items) == MAX_ITEMS or total > _MAX_HASHES:
+            yield messages.Fetch(items)
+            items, total = {}, 0
+    if items:
+        yield messages.Fetch(items)
 
 
 def _record_hashes(member: table.Member | None) -> tuple[int, ...]:
--- a/src/cicadafront/membership/budget.py
+++ b/src/cicadafront/membership/budget.py
@@ -40,7 +40,8 @@
         """Returns the fill level in bytes; negative after an overdraft."""
         if now > self._updated:
             gained = (now - self._updated) * self.rate
-            self._level = min(self._burst, self._level + gained)
+            room = max(0.0, self._burst - self._level)
+            self._level += min(room, gained)
             self._updated = now
         return self._level
 
@@ -48,6 +49,11 @@
         """Returns the bytes available to a datagram of this priority."""
         return self.level(now) - priority.value
 
+    def earn(self, now: float, size: int) -> None:
+        """Adds `size` bytes, which may raise the level above the burst."""
+        if size:
+            self._level = self.level(now) + size
+
     def spend(self, now: float, size: int) -> None:
         """Deducts a datagram of `size` bytes; the level may become negative."""
         self._level = self.level(now) - size - HEADER_BYTES
--- a/src/cicadafront/membership/exchange.py
+++ b/src/cicadafront/membership/exchange.py
@@ -91,6 +91,7 @@
 
     def broadcast_records(self, now: float) -> Datagrams:
         """Broadcasts and clears the records marked as urgent."""
+        self._state.choose_spread(now)
         if not self._state.urgent:
             return []
         found = map(self._state.known.record, self._state.urgent)
@@ -155,9 +156,12 @@
     ) -> Datagrams:
         """Handles a message and returns the datagrams to send."""
         update = isinstance(message.body, messages.Update)
-        old_me = self._state.me
+        old_me, learned = self._state.me, self._state.learned.records
         newer = self._state.merge(now, message.carried, spread=not update)
         self._state.merge_claims(now, message.claims)
+        gained = self._state.learned.records - learned
+        if gained:
+            self._state.pace.learned(now, gained, compared=update)
         refuted = old_me is not self._state.me
         carried: list[records.Record] = [self._state.me] if refuted else []
         out = self._check_sender(now, message, sender)
@@ -270,16 +274,17 @@
         self, now: float, body: messages.Body, sender: records.Address
     ) -> Datagrams:
         known = self._state.known
-        request: messages.Body | None = None
+        requests: Sequence[messages.Body] = ()
         items: list[records.Record] = []
         match body:
             case messages.Digest():
-                request = antientropy.summarize(known, body, self._rng)
+                requests = antientropy.summarize(known, body, self._rng)
             case messages.Summary():
-                request, items = antientropy.compare(known, body)
+                requests, items = antientropy.compare(known, body)
             case messages.Fetch():
-                items, request = antientropy.answer(known, body)
+                items, reply = antientropy.answer(known, body)
+                requests = [] if reply is None else [reply]
         out = self.send_records(now, sender, items)
-        if request is not None:
+        for request in requests:
             out += self.request(now, sender, request)
         return out
--- a/src/cicadafront/membership/failure_detector.py
+++ b/src/cicadafront/membership/failure_detector.py
@@ -16,6 +16,8 @@
 # Each instance probes one other per period. Some instance then probes a dead
 # one within about one period, whatever the size of the fleet.
 PROBE_SECONDS = 0.5
+# Share of the comparisons with peers of any data centre.
+REMOTE_COMPARISONS = 0.3
 # Period when urgent broadcasts have depleted the byte budget.
 SLOW_PROBE_SECONDS = 2.0
 
@@ -128,6 +130,26 @@
         drawn.sort(key=lambda record: record.liveness)
         return [record.gossip_address for record in drawn[:count]]
 
+    def peer_to_compare(self) -> records.Address | None:
+        """Returns a random peer, mostly one of the same data centre.
+
+        Comparisons within a data centre need no bandwidth between data centres,
+        and a few across suffice to spread a record to all of them.
+        """
+        members = self._known.members
+        peers = self.peers
+        if self._rng.random() >= REMOTE_COMPARISONS:
+            here = members[self._me].record.data_centre
+            near = [
+                id for id in peers if members[id].record.data_centre == here
+            ]
+            peers = near or peers
+        if not peers:
+            return None
+        drawn = [self._rng.choice(peers) for _ in range(2)]
+        drawn.sort(key=lambda id: members[id].record.liveness)
+        return members[drawn[0]].record.gossip_address
+
     def _relays(self, target: str) -> list[records.Address]:
         return self.random_peers(probing.RELAYS, (target,))
 
--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -20,6 +20,7 @@
     joining,
     messages,
     outbox,
+    pace,
     probing,
     records,
     state,
@@ -36,6 +37,10 @@
 CLAIMS_SECONDS = 0.5
 CLAIMS_FANOUT = 3
 MAX_PAYLOAD_BYTES = 1000
+# Bytes that an instance may send for each byte of records of which it knew no
+# version. All instances together send such a record at least once to each of
+# them, and up to three times while several exchanges overlap.
+SENT_PER_NEW = 4
 
 _P = budget.Priority
 
@@ -47,9 +52,9 @@
     Attributes:
         bytes_per_second: Mean rate limit of the bytes that an instance sends.
         digest_seconds: Mean interval between anti-entropy exchanges with a
-            random peer.
-        broadcast_all_changes: Whether every change of a target is broadcast,
-            not only those that take it out of use.
+            random peer while they find no difference.
+        broadcast_all_changes: Whether every change of a target is broadcast
+            while the fleet is calm, not only those that take it out of use.
         tick_seconds: Interval between calls of `tick`.
     """
 
@@ -82,8 +87,12 @@
         others = [seed for seed in seeds if seed != me.gossip_address]
         self._seeds = joining.Seeds(others, rng)
         self.parameters = parameters
+        self._pace = pace.Pace(
+            parameters.digest_seconds,
+            now + rng.uniform(0, pace.MIN_INTERVAL_SECONDS),
+        )
         self._state = state.State(
-            me, rng, now, parameters.broadcast_all_changes
+            me, rng, now, self._pace, parameters.broadcast_all_changes
         )
         self._detector = self._state.detector
         self._known = self._state.known
@@ -105,7 +114,6 @@
         self._due: dict[Callable[[float], list[Datagram]], float] = {
             self._probe: now + rng.uniform(0, failure_detector.PROBE_SECONDS),
             self._probe_dead: now + DEAD_PROBE_SECONDS,
-            self._send_digest: now + rng.uniform(0, parameters.digest_seconds),
             self._ping_seeds: now,
             self._purge: now + PURGE_SECONDS,
         }
@@ -121,15 +129,6 @@
         # The next tick pings them.
         self._due[self._ping_seeds] = 0.0
 
-    @property
-    def broadcast_all_changes(self) -> bool:
-        """Whether every change of a target is broadcast."""
-        return self._state.broadcast_all_changes
-
-    @broadcast_all_changes.setter
-    def broadcast_all_changes(self, broadcast_all_changes: bool) -> None:
-        self._state.broadcast_all_changes = broadcast_all_changes
-
     @property
     def revision(self) -> int:
         """Configuration revision sent in each message."""
@@ -267,6 +266,8 @@
         for action, due in list(self._due.items()):
             if now >= due:
                 out += action(now)
+        if now >= self._pace.next_at:
+            out += self._send_digest(now)
         out += self._exchange.broadcast_records(now)
         out += self._exchange.flush(now)
         out += self._exchange.repeat(now)
@@ -290,7 +291,10 @@
                     "The sender of the datagram is empty or this instance."
                 )
             self._detector.clock.datagram_received(now)
+            known = self._state.learned.new_bytes
             out = self._exchange.receive(now, message, sender)
+            new = self._state.learned.new_bytes - known
+            self._budget.earn(now, SENT_PER_NEW * new)
         except codec.DatagramError:
             self.counters.ignored += 1
             return []
@@ -336,14 +340,13 @@
         return self._exchange.send(now, ping, _P.ORDINARY, [record])
 
     def _send_digest(self, now: float) -> list[Datagram]:
-        jitter = self._rng.uniform(0.8, 1.2)
-        period = self.parameters.digest_seconds
-        self._due[self._send_digest] = now + period * jitter
+        address = self._detector.peer_to_compare()
+        if address is None:
+            # The first peer is compared with as soon as it is known.
+            return []
+        self._pace.compares(now, self._rng.uniform(0.8, 1.2))
         body = antientropy.digest(self._known)
-        out: list[Datagram] = []
-        for address in self._detector.random_peers(1, ()):
-            out += self._exchange.request(now, address, body)
-        return out
+        return self._exchange.request(now, address, body)
 
     def _ping_seeds(self, now: float) -> list[Datagram]:
         peers = self._detector.peers
--- a/src/cicadafront/membership/registration.py
+++ b/src/cicadafront/membership/registration.py
@@ -31,11 +31,15 @@
 # which doubles up to `MAX_SEARCH_SECONDS`.
 MIN_SEARCH_SECONDS = 1.0
 MAX_SEARCH_SECONDS = 10.0
+# Longest pause after a search that failed. The instance cannot serve any caller
+# until it has found another one, and few instances are in this state.
+MAX_SEARCH_RETRY_SECONDS = 1.0
 SEARCH_TIMING = loops.Timing(
     interval=MIN_SEARCH_SECONDS,
     timeout=RUN_TIMEOUT_SECONDS,
     first=MIN_SEARCH_SECONDS,
-    max_backoff=MAX_SEARCH_SECONDS,
+    initial_backoff=MAX_SEARCH_RETRY_SECONDS / 2,
+    max_backoff=MAX_SEARCH_RETRY_SECONDS,
 )
 # Changes of the target within this time are combined into one write.
 WRITE_DELAY_SECONDS = 0.1
@@ -84,6 +88,8 @@
         self._restored = False
         self._written_target: StoredTarget = {}
         self._lease = ""
+        # The others listed by a registration whose writes have failed.
+        self._listed: list[Address] | None = None
         self._registration_loop = running.add(
             "registration", self._register, REGISTRATION_TIMING
         )
@@ -110,9 +116,12 @@
         self._search_loop.stop()
 
     def store_recovered(self) -> None:
-        """Checks the entry, which may have expired during a store outage."""
-        if not self._registration_loop.busy:
-            self._registration_loop.wake()
+        """Checks the entry, which may have expired during a store outage.
+
+        A run in progress may have begun during the outage, so that another one
+        follows it.
+        """
+        self._registration_loop.wake()
 
     def target_changed(self) -> None:
         """Schedules a write of the entry if the target differs from it."""
@@ -128,12 +137,14 @@
             await self._renew()
 
     async def _create_entry(self) -> None:
-        others = await self._list()
-        # The addresses are useful even if the store accepts no writes.
-        self._found(others)
+        if self._listed is None:
+            self._listed = await self._list()
+            # The addresses are useful even if the store accepts no writes.
+            self._found(self._listed)
         self._lease = await self._store.grant_lease(LEASE_SECONDS)
         await self._write()
-        _log.info("registered in the store.", others=len(others))
+        _log.info("registered in the store.", others=len(self._listed))
+        self._listed = None
 
     async def _write(self) -> None:
         stored = self._target()
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -105,11 +105,6 @@
         port, self._port = self._port, None
         return defer.maybeDeferred(port.stopListening) if port else _done()
 
-    def rejoin(self) -> None:
-        """Requests a new state transfer from a random peer, if there is one."""
-        if self._core.peers():
-            self.joined = False
-
     def when_joined(self) -> "defer.Deferred[None]":
         """Returns a Deferred that fires once the full state was received."""
         if self.joined:
--- a/src/cicadafront/membership/state.py
+++ b/src/cicadafront/membership/state.py
@@ -9,6 +9,7 @@
 from cicadafront.membership import (
     dissemination,
     failure_detector,
+    pace,
     records,
     table,
 )
@@ -16,6 +17,22 @@
 _URGENT_STATES = (model.TargetState.EJECTED, model.TargetState.LEAVING)
 
 
+@attrs.define
+class Learned:
+    """What the datagrams of other instances have added to the table.
+
+    Changes of liveness do not count, since each instance judges it itself.
+
+    Attributes:
+        records: Number of records that were new or newer.
+        new_bytes: Upper bound of the encoded size of those of which no version
+            was known.
+    """
+
+    records: int = 0
+    new_bytes: int = 0
+
+
 class State:
     """The record table, and the queues and detector that its changes update.
 
@@ -29,7 +46,10 @@
         has_new_claims: Whether claims were queued since the flag was cleared.
         superseded: Whether a process with the same id, a higher incarnation
             and another address was seen.
-        broadcast_all_changes: Whether every change of a target is broadcast.
+        broadcast_all_changes: Whether every change of a target is broadcast
+            while the fleet is calm.
+        pace: Decides how changes are spread.
+        learned: What other instances have added to the table.
     """
 
     def __init__(
@@ -37,6 +57,7 @@
         me: records.InstanceRecord,
         rng: random.Random,
         now: float,
+        own_pace: pace.Pace,
         broadcast_all_changes: bool = False,
     ):
         self.known = table.Table()
@@ -49,6 +70,10 @@
             self.known, me.id, rng, now
         )
         self.urgent: dict[table.Key, None] = {}
+        self.pace = own_pace
+        self.learned = Learned()
+        # Keys of own records to broadcast if the fleet is calm.
+        self._announced: dict[table.Key, None] = {}
         self.changed = False
         self.has_new_claims = False
         self.superseded = False
@@ -100,11 +125,22 @@
         if record != held:
             urgent = record.state in _URGENT_STATES or record.gone
             if self.broadcast_all_changes:
-                urgent = True
                 # Receivers cannot use a new target without the owner's record.
-                self.urgent[table.key_of(self.me)] = None
+                self._announced[table.key_of(self.me)] = None
+                self._announced[table.key_of(record)] = None
             self._store_own(now, record, urgent)
 
+    def choose_spread(self, now: float) -> None:
+        """Marks announced records as urgent, unless comparisons spread them."""
+        if not self._announced:
+            return
+        match self.pace.spread(now):
+            case pace.Spread.BROADCAST:
+                self.urgent.update(self._announced)
+                self._announced.clear()
+            case pace.Spread.COMPARE:
+                self._announced.clear()
+
     def apply_transition(
         self, now: float, record: records.InstanceRecord
     ) -> None:
@@ -128,12 +164,24 @@
         """
         newer = []
         for record in items:
-            if self._merge(now, record, spread) is table.MergeResult.OLDER:
+            held = self.known.record(table.key_of(record))
+            result = self._merge(now, record, spread)
+            if result is table.MergeResult.NEWER:
+                self._count(held, record)
+            elif result is table.MergeResult.OLDER:
                 held = self.known.record(table.key_of(record))
                 if held is not None:
                     newer.append(held)
         return newer
 
+    def _count(
+        self, held: records.Record | None, record: records.Record
+    ) -> None:
+        if held is None or held.digest() != record.digest():
+            self.learned.records += 1
+        if held is None:
+            self.learned.new_bytes += dissemination.estimated_size(record)
+
     def merge_claims(
         self, now: float, claims: Iterable[tuple[int, int, bool]]
     ) -> None:
@@ -230,6 +278,8 @@
         if result is table.MergeResult.NEWER:
             self.changed = True
             self.detector.record_changed(key[0])
+            if self.detector.peers:
+                self.pace.met_peers(now)
             if spread:
                 known = _same_content(held, record)
                 (self.claims if known else self.queue).add(key)
--- a/src/cicadafront/membership/table.py
+++ b/src/cicadafront/membership/table.py
@@ -87,6 +87,7 @@
         self.changed_services: set[str] = set()
         self._services: dict[str, dict[Key, records.TargetRecord]] = {}
         self._by_hash: dict[int, str] = {}
+        self._bucket_ids: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
         self._by_content: dict[int, str] = {}
 
     def record(self, key: Key) -> records.Record | None:
@@ -114,8 +115,8 @@
 
     def bucket_members(self, bucket: int) -> Iterator[Member]:
         """Iterates over the members of a bucket that are not dead."""
-        for hash, id in self._by_hash.items():
-            if hash % BUCKETS == bucket and id not in self.dead:
+        for id in self._bucket_ids[bucket]:
+            if id not in self.dead:
                 yield self.members[id]
 
     def merge(self, record: records.Record, now: float) -> MergeResult:
@@ -226,7 +227,9 @@
 
     def _add(self, record: records.InstanceRecord, now: float) -> Member:
         member = self.members[record.id] = Member(record, now)
-        self._by_hash[records.id_hash(record.id)] = record.id
+        hash = records.id_hash(record.id)
+        self._by_hash[hash] = record.id
+        self._bucket_ids[hash % BUCKETS][record.id] = None
         return member
 
     def _remove(self, member: Member) -> None:
@@ -235,7 +238,9 @@
         self._by_content.pop(member.record.content(), None)
         self.dead.discard(member.record.id)
         del self.members[member.record.id]
-        self._by_hash.pop(records.id_hash(member.record.id), None)
+        hash = records.id_hash(member.record.id)
+        self._by_hash.pop(hash, None)
+        self._bucket_ids[hash % BUCKETS].pop(member.record.id, None)
 
     def _update_index(self, member: Member, remove: bool) -> None:
         id = member.record.id
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -67,22 +67,14 @@
     # was valid when the request started.
     finish_with_withdrawn_key=True,
 )
-# A target that joins must receive requests within two seconds. The byte rate
-# limits the burst of announcements at the start of a fleet of 100 instances; a
-# fleet without changes uses a small part of it.
+# A target that joins must receive requests within two seconds. A fleet without
+# changes uses a small part of the byte rate, and one that starts more.
 GOSSIP_PARAMETERS = gossip.Parameters(
     bytes_per_second=4000.0,
     digest_seconds=1.5,
     broadcast_all_changes=True,
     tick_seconds=0.2,
 )
-# Time without broadcasts of target changes when the whole fleet starts for the
-# first time. Anti-entropy is then cheaper than broadcasting every target to all
-# instances, and there are no callers yet.
-FIRST_START_SECONDS = 8.0
-# Times after the start at which the membership state is fetched from a peer
-# again, since that peer may have had little of it the first time.
-REJOIN_DELAYS_SECONDS = (3.0, 6.0)
 # Time that a started instance needs to discover the others if all of them start
 # at the same time.
 SETTLE_SECONDS = 3.0
@@ -172,8 +164,6 @@
         self.loops.keep(self.membership.loop)
         # The addresses of the other instances come from the store.
         self.membership.joined = False
-        if sidecar_settings.first_start:
-            self.gossip.broadcast_all_changes = False
         self.directory = self.membership.directory
         watch.FleetWatch(self.directory)
         self.registration = registration.Registration(
@@ -254,18 +244,6 @@
         )
         self.budget = retries.FleetRetryBudget(self.admission, self.allowance)
 
-    def _schedule_startup(self) -> None:
-        """Schedules the membership actions of the first seconds."""
-        for seconds in REJOIN_DELAYS_SECONDS:
-            self.reactor.callLater(seconds, self.membership.rejoin)
-        if self.settings.first_start:
-            self.reactor.callLater(FIRST_START_SECONDS, self._enable_broadcasts)
-
-    def _enable_broadcasts(self) -> None:
-        self.gossip.broadcast_all_changes = (
-            GOSSIP_PARAMETERS.broadcast_all_changes
-        )
-
     def _add_seeds(self, addresses: list[tuple[str, int]]) -> None:
         seeds = [*self.gossip.seeds, *addresses]
         me = self.settings.gossip
@@ -480,11 +458,6 @@
                 ("registration", self.registration),
             )
         ]
-        steps.append(
-            supervisor.FunctionComponent(
-                "settling", self._schedule_startup, lambda: None
-            )
-        )
         periodic: list[supervisor.Component] = [
             self.loops.add("target", self._expire_targets, loops.periodic(1.0))
         ]
--- a/src/cicadafront/sidecar/settings.py
+++ b/src/cicadafront/sidecar/settings.py
@@ -46,7 +46,6 @@
         store: Address of the platform's key-value store.
         target: Address of the local target.
         service: Service of the local target until a heartbeat states it.
-        first_start: Whether the whole fleet starts for the first time.
         stop_seconds: Time from SIGTERM to SIGKILL.
         retry_share: Fraction of a service's requests, counted fleet-wide,
             that may be sent to a second target.
@@ -72,7 +71,6 @@
     store: Address
     target: Address
     service: str = ""
-    first_start: bool = False
     stop_seconds: float = 6.0
     retry_share: float = 0.2
     retry_extra: float = 60.0
@@ -99,7 +97,6 @@
     "store": schema.Field(settings.address, required=True),
     "target": schema.Field(settings.address, required=True),
     "service": schema.Field(_optional_name),
-    "first_start": schema.Field(schema.boolean),
     "stop_seconds": schema.Field(schema.number(0, 3600, " (seconds)")),
     "retry_share": schema.Field(schema.number(0, 10)),
     "retry_extra": schema.Field(schema.number(0, 1e6)),
--- a/tests/membership/network.py
+++ b/tests/membership/network.py
@@ -57,6 +57,7 @@
         incarnation: int = 1,
         seeds=(),
         number: int | None = None,
+        data_centre: str = "dar-a",
         **options,
     ) -> gossip.Gossip:
         """Starts an instance; it replaces one with the same id.
@@ -66,12 +67,13 @@
             incarnation: Incarnation of its process.
             seeds: Gossip addresses of its seeds.
             number: Number of its address; the next free one if None.
+            data_centre: Data centre of the instance.
             **options: Further arguments of `gossip.Gossip`.
         """
         gossip_address = address(len(self._names) if number is None else number)
         peer_address = gossip_address[0], 7001
         me = records.InstanceRecord(
-            id, incarnation, 1, "dar-a", peer_address, gossip_address
+            id, incarnation, 1, data_centre, peer_address, gossip_address
         )
         rng = random.Random(self._rng.random())
         node = gossip.Gossip(me, rng, self.now, seeds, **options)
@@ -166,6 +168,6 @@
                 return
             if id not in self.paused:
                 self.send(id, node.tick(self.now))
-            self.at(self.now + gossip.TICK_SECONDS, tick)
+            self.at(self.now + node.parameters.tick_seconds, tick)
 
         return tick
--- a/tests/membership/test_cold_start.py
+++ b/tests/membership/test_cold_start.py
@@ -4,11 +4,11 @@
 import unittest
 
 from parameterized import parameterized
-from twisted.internet import defer, task
+from twisted.internet import task
 
-from cicadafront import errors, loops, ports
+from cicadafront import loops, ports
 from cicadafront.membership import gossip, registration
-from tests.membership import network
+from tests.membership import network, starts
 
 SIZE = 30
 GOSSIP_PARAMETERS = gossip.Parameters(
@@ -18,7 +18,6 @@
 # machines.
 RECOVERY_SECONDS = 15.0
 STEP_SECONDS = 0.05
-CALL_SECONDS = 1.0
 INVALID_VALUES = (
     b"[" * 100_000,
     b'{"gossip": ["10.0.0.9", 1e999]}',
@@ -28,47 +27,6 @@
 )
 
 
-class Store:
-    """Store with entries of earlier processes and invalid entries.
-
-    Attributes:
-        delay: Response time in seconds.
-        available_at: Time until which calls fail after `CALL_SECONDS`.
-    """
-
-    def __init__(self, clock, delay, available_at):
-        self.clock, self.delay, self.available_at = clock, delay, available_at
-        self.entries = {
-            f"{registration.PREFIX}odd{n}": ports.Versioned(value, 1)
-            for n, value in enumerate(INVALID_VALUES)
-        }
-
-    def _answer(self, action):
-        done = defer.Deferred()
-        if self.clock.seconds() < self.available_at:
-            error = errors.StoreUnavailableError("no answer")
-            self.clock.callLater(CALL_SECONDS, done.errback, error)
-        else:
-            self.clock.callLater(self.delay, lambda: done.callback(action()))
-        return done
-
-    def list(self, prefix):
-        return self._answer(lambda: dict(self.entries))
-
-    def grant_lease(self, ttl):
-        return self._answer(lambda: "1")
-
-    def renew_lease(self, lease):
-        return self._answer(lambda: None)
-
-    def put(self, key, value, expected=None, lease=""):
-        def write():
-            self.entries[key] = ports.Versioned(value, 1)
-            return 1
-
-        return self._answer(write)
-
-
 class ColdStartTest(unittest.TestCase):
     """Guards against a fleet that stays partitioned after a mass failure.
 
@@ -94,13 +52,13 @@
         clock = task.Clock()
         net = network.Network(seed)
         rng = random.Random(seed)
-        store = Store(clock, delay, away)
+        store = starts.Store(clock, delay, away)
+        for number, value in enumerate(INVALID_VALUES):
+            key = f"{registration.PREFIX}odd{number}"
+            store.entries[key] = ports.Versioned(value, 1)
         if listed:
             for number in range(SIZE):
-                host, port = network.address(number)
-                value = f'{{"gossip": ["{host}", {port}]}}'.encode()
-                key = f"{registration.PREFIX}i{number}"
-                store.entries[key] = ports.Versioned(value, 1)
+                store.register(f"i{number}", network.address(number))
         for number in range(SIZE):
             at = rng.uniform(0.0, 0.5)
             net.at(at, lambda n=number: self.start(net, clock, store, n))
--- a/tests/membership/test_gossip.py
+++ b/tests/membership/test_gossip.py
@@ -101,9 +101,9 @@
                 if any(r.id == "late" for r in node.targets("ledger"))
             ]
 
-        net.run(0.5)
         self.assertEqual(holders(), ["i003"])
-        net.run_until(lambda: len(holders()) == 4, 60)
+        interval = nodes[3].parameters.digest_seconds
+        net.run_until(lambda: len(holders()) == 4, interval)
 
 
 class FailureDetectionTest(unittest.TestCase):
--- a/tests/membership/test_parts.py
+++ b/tests/membership/test_parts.py
@@ -249,22 +249,46 @@
             mine.merge(instance(f"i{number}"), 0.0)
             theirs.merge(instance(f"i{number}", version=2), 0.0)
         rng = random.Random(1)
-        summary = antientropy.summarize(mine, antientropy.digest(theirs), rng)
-        self.assertLessEqual(len(summary.entries), antientropy.MAX_ENTRIES)
-        fetch, _ = antientropy.compare(theirs, summary)
-        self.assertLessEqual(len(fetch.items), antientropy.MAX_ITEMS)
+        digest = antientropy.digest(theirs)
+        summaries = antientropy.summarize(mine, digest, rng)
+        fetched = set()
+        for summary in summaries:
+            self.assertLessEqual(len(summary.entries), antientropy.MAX_ENTRIES)
+            fetches, _ = antientropy.compare(theirs, summary)
+            for fetch in fetches:
+                self.assertLessEqual(len(fetch.items), antientropy.MAX_ITEMS)
+                fetched.update(fetch.items)
+        # One exchange finds all differences.
+        self.assertEqual(len(fetched), size)
+
+    def test_equal_changes_of_two_members_do_not_cancel_out(self):
+        # Two members of one bucket, both of which have gone from one version to
+        # the next.
+        ids: dict[int, str] = {}
+        for number in range(10_000, 99_999):
+            bucket = records.id_hash(f"i{number}") % table.BUCKETS
+            if bucket in ids:
+                break
+            ids[bucket] = f"i{number}"
+        pair = ids[bucket], f"i{number}"
+        mine, theirs = table.Table(), table.Table()
+        for id in pair:
+            mine.merge(instance(id), 0.0)
+            theirs.merge(instance(id, version=2), 0.0)
+        self.assertNotEqual(mine.buckets, theirs.buckets)
 
     def test_equal_tables_need_no_summary(self):
         mine = table.Table()
         mine.merge(instance(), 0.0)
         digest = antientropy.digest(mine)
-        summary = antientropy.summarize(mine, digest, random.Random(1))
-        self.assertIsNone(summary)
+        summaries = antientropy.summarize(mine, digest, random.Random(1))
+        self.assertEqual(summaries, [])
 
     def test_digest_with_other_bucket_count_is_ignored(self):
         digest = messages.Digest((1, 2))
-        summary = antientropy.summarize(table.Table(), digest, random.Random(1))
-        self.assertIsNone(summary)
+        known = table.Table()
+        summaries = antientropy.summarize(known, digest, random.Random(1))
+        self.assertEqual(summaries, [])
 
 
 if __name__ == "__main__":
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -180,6 +180,26 @@
         self.run_for(2)
         self.assertEqual(len(self.store.entries), 1)
 
+    def test_entry_is_written_after_an_outage_that_a_call_outlasts(self):
+        registered = self.register()
+        self.store.unavailable = True
+        self.run_for(30)
+        while "renew" not in self.store.calls[-1:]:
+            self.run_for(0.1)
+        # A renewal is in progress; it will fail.
+        self.store.end_leases()
+        self.store.unavailable = False
+        registered.store_recovered()
+        self.run_for(1)
+        self.assertEqual(len(self.store.entries), 1)
+
+    def test_others_are_listed_once_while_writes_fail(self):
+        self.alone = False
+        self.store.read_only = True
+        self.register()
+        self.run_for(30)
+        self.assertEqual(self.store.calls.count("list"), 1)
+
     def test_store_unavailable_at_the_start(self):
         self.store.unavailable = True
         self.register()
--- a/tests/soak/parties.py
+++ b/tests/soak/parties.py
@@ -353,7 +353,6 @@
                 f'target = "{HOST}:{self.target.proxy.port}"',
                 f'service = "{SERVICE}"',
                 f"retry_extra = {checks.RETRY_EXTRA}",
-                f"first_start = {'true' if self.starts == 0 else 'false'}",
                 "",
             ]
         )
