Watch for the first configuration instead of polling for it

All instances start before the operators have written anything, polled the store after pauses of 0.2 to 2 s, and the first one that read the configuration announced it to all others, which fetched it from that one.

A read that finds nothing now tells from where to watch, and the watch of each instance brings the first configuration. Polling with growing pauses remains for a store that ends such watches early.

--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -39,7 +39,8 @@
 WATCH_TIMEOUT_SECONDS = 35.0
 # Pause after a watch that returned early without a new revision.
 EARLY_ANSWER_PAUSE_SECONDS = 0.2
-# Initial pause while the store has no configuration yet; it doubles each time.
+# Initial pause while the store has no configuration yet and ends watches early;
+# it doubles each time.
 EMPTY_STORE_PAUSE_SECONDS = 0.4
 MAX_RETRY_SECONDS = 2.0
 WATCH_TIMING = loops.Timing(
@@ -215,16 +216,17 @@
             found = await self._store.get(self._key)
             self._on_store_answer()
             self._apply_stored(found)
-            if found is None and not self._held.revision:
-                return self._next_empty_store_pause()
         wait = self._watch_seconds()
         self._watch_started_at = started_at = self._clock.seconds()
         found = await self._store.watch(self._key, self._version, wait)
         self._on_store_answer()
         if self._apply_stored(found):
             return 0.0
-        early = self._clock.seconds() - started_at < wait / 2
-        return EARLY_ANSWER_PAUSE_SECONDS if early else 0.0
+        if self._clock.seconds() - started_at >= wait / 2:
+            return 0.0
+        if not self._held.revision:
+            return self._next_empty_store_pause()
+        return EARLY_ANSWER_PAUSE_SECONDS
 
     def _watch_seconds(self) -> float:
         """Returns the seconds until this instance's turn to renew its watch.
--- a/src/cicadafront/platform/store.py
+++ b/src/cicadafront/platform/store.py
@@ -163,6 +163,8 @@
             "GET", "/-/kv-key", query={"key": key}, accepted=(_NOT_FOUND,)
         )
         if status == _NOT_FOUND:
+            # A watch continues from here and returns the first version.
+            self._record_revision(key, document)
             return None
         if document.get("key") != key:
             raise errors.StoreUnavailableError(
--- a/tests/config/test_follow.py
+++ b/tests/config/test_follow.py
@@ -80,6 +80,7 @@
         self.broadcast_handlers = {}
         self.revision_channels = []
         self.broadcasts = 0
+        self.calls = 0
         self.held = [current.CurrentConfiguration() for _ in range(count)]
         self.recovered = []
         self.followers = [self._follower(n) for n in range(count)]
@@ -171,6 +172,7 @@
         self.fleet.handlers[self.here] = handler
 
     def call(self, instance, method, body, timeout):
+        self.fleet.calls += 1
         return defer.succeed(self.fleet.handlers[instance](self.here, body))
 
 
@@ -271,11 +273,34 @@
         fleet.run(1)
         self.assertLessEqual(fleet.broadcasts, 2)
 
-    def test_empty_store_is_polled_with_backoff(self):
+    def test_empty_store_is_watched(self):
         fleet = Fleet(1)
         fleet.start()
         fleet.run(10)
-        self.assertLessEqual(fleet.stores[0].calls, 10)
+        self.assertLessEqual(fleet.stores[0].calls, 2)
+        # The first configuration needs no further read.
+        fleet.stores[0].write(b"1")
+        self.assertEqual(fleet.revisions, [1])
+
+    def test_empty_store_that_ends_watches_is_polled_with_backoff(self):
+        fleet = Fleet(1)
+        fleet.stores[0].watch = lambda key, after, timeout: fleet.stores[0].get(
+            key
+        )
+        fleet.start()
+        fleet.run(10)
+        self.assertLessEqual(fleet.stores[0].calls, 20)
+
+    def test_first_configuration_is_fetched_from_no_peer(self):
+        # All instances start before the operators have written anything.
+        fleet = Fleet(20)
+        fleet.start()
+        fleet.run(3)
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.run(1)
+        self.assertEqual(fleet.revisions, [1] * 20)
+        self.assertEqual(fleet.calls, 0)
 
     def test_store_recovery(self):
         fleet = Fleet(1)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -115,8 +115,13 @@
         self.assertEqual(scripted.calls, [("GET", "/-/kv-key?key=k", b"")])
 
     def test_missing_item(self):
-        _, client = self.script((404, {"store_revision": 9}))
+        scripted, client = self.script(
+            (404, {"store_revision": 9}), (200, {"events": []})
+        )
         self.assertIsNone(loop.call(lambda: client.get("k")))
+        # A watch for its first version must not miss what was written since.
+        loop.call(lambda: client.watch("k", 0, 1.0))
+        self.assertIn("after=9", scripted.calls[1][1])
 
     def test_pages_of_a_list(self):
         other = {**ITEM, "key": "l"}
