Collect no garbage during the imports of a start

Compiling without docstrings and assertions would bring as much again and was left out, since libraries may rely on either.

--- a/src/cicadafront/daemon/__main__.py
+++ b/src/cicadafront/daemon/__main__.py
@@ -1,5 +1,6 @@
 """Starts the daemon: `python -m cicadafront.daemon`."""
 
+import gc
 import signal
 import sys
 
@@ -8,7 +9,13 @@
 # that no reload is missed.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+# Imports create many objects and hardly any garbage. Collections during them
+# would take a twelfth of their processor time.
+gc.disable()
+
 from cicadafront.daemon import main  # noqa: E402
 
+gc.enable()
+
 if __name__ == "__main__":
     sys.exit(main.main())
--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -141,8 +141,11 @@
 
 def _run_sidecar(path: pathlib.Path, reactor: Any) -> int:
     """Runs an instance as the sidecar of one target."""
+    gc.disable()
     from cicadafront.sidecar import assembly, reload
 
+    gc.enable()
+
     instance_settings = sidecar_settings.load(path)
     reactor.seconds = seconds_since_boot
     pipe = logs.start_pipe(
