Let a part of a large fleet watch the configuration

Now 32 instances watch, or an eighth of the fleet if that is more; fleets of up to 32 are as before. The others learn of a revision by gossip and call one of eight watchers, so that no instance is called by all. An instance that is cut off from its peers, has no configuration or has lost the store watches in any case, and one that does not watch reads the store each 10 s, at a tenth of the price, in case it answers no watcher.

--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -1,9 +1,10 @@
 """Follows a configuration that is stored as a single document.
 
-A new revision arrives through a watch of the store or from another instance.
-Every gossip datagram carries the revision that its sender runs. An instance
-with an older revision fetches the document from one with a newer revision,
-independently of its own watch. `config.catchup` tracks the newer instances.
+A new revision arrives through a watch of the store or from another instance; in
+a large fleet only some instances watch (`config.watchers`). Every gossip
+datagram carries the revision that its sender runs. An instance with an older
+revision fetches the document from one with a newer revision, independently of
+its own watch. `config.catchup` tracks the newer instances.
 """
 
 import random
@@ -16,7 +17,7 @@
 from twisted.python import failure
 
 from cicadafront import errors, loops, ports
-from cicadafront.config import catchup, current
+from cicadafront.config import catchup, current, watchers
 from cicadafront.config import model as config_model
 from cicadafront.telemetry import logs
 
@@ -73,6 +74,14 @@
 # A watch that has not delivered a revision this long after a peer did is
 # considered stalled.
 STALLED_WATCH_SECONDS = 1.0
+# Interval at which an instance that does not watch checks whether it should.
+WATCHER_CHECK_SECONDS = 1.0
+# Interval at which such an instance reads the store nevertheless, in case it
+# answers no watcher. The result may be seconds old.
+STALE_READ_SECONDS = 10.0
+# Watchers that a broadcast is taken to stand for. Each instance calls one of
+# them, so that the calls are spread over all watchers.
+ASKED_WATCHERS = 8
 # Pause before handlers that failed to apply a revision are called again.
 HANDLER_RETRY_SECONDS = 0.5
 # While all handlers have applied the active revision there is nothing to do.
@@ -83,6 +92,7 @@
 _REVISION = struct.Struct("!Q")
 
 Decode = Callable[[bytes], config_model.Configuration]
+ReadStale = Callable[[str], "defer.Deferred[ports.Versioned | None]"]
 
 _log = logs.Log("config")
 
@@ -117,8 +127,12 @@
         revisions: Exchanges the revisions that instances run.
         calls: Calls to peers.
         held: Holds the active configuration; receives newer ones.
+        read_stale: Reads a key of the store, possibly a version that is seconds
+            old; by default the newest.
         on_store_recovered: Called when the store answers again after an outage.
         reachable: Returns whether an instance seems reachable.
+        isolated: Returns whether this instance appears to be cut off from the
+            others, so that it must watch the store itself.
         wall: Returns the wall-clock time in seconds.
     """
 
@@ -137,8 +151,10 @@
         revisions: ports.Revisions,
         calls: ports.PeerCalls,
         held: current.CurrentConfiguration,
+        read_stale: ReadStale | None = None,
         on_store_recovered: Callable[[], None] = lambda: None,
         reachable: catchup.Reachable = lambda instance: True,
+        isolated: Callable[[], bool] = lambda: False,
         wall: Callable[[], float] = time.time,
     ):
         self.connected = False
@@ -155,8 +171,11 @@
         self._revisions = revisions
         self._calls = calls
         self._held = held
+        self._read_stale = read_stale or store.get
         self._on_store_recovered = on_store_recovered
         self._reachable = reachable
+        self._isolated = isolated
+        self._watches = True
         self._wall = wall
         self._document = b""
         self._version = 0
@@ -199,18 +218,32 @@
     # Updates from the store.
 
     async def _follow_store(self) -> float:
-        """Waits for one change.
+        """Waits for one change, if this instance watches.
 
         Returns:
             Seconds until the next watch.
         """
+        self._watches = self._should_watch()
         try:
+            if not self._watches:
+                await self._read_sometimes()
+                return WATCHER_CHECK_SECONDS
             return await self._read_and_watch()
         except errors.StoreUnavailableError:
             # The loop logs the reason.
             self.connected = False
             raise
 
+    async def _read_sometimes(self) -> None:
+        answered = self.answered_at
+        now = self._clock.seconds()
+        if answered is None or now - answered < STALE_READ_SECONDS:
+            return
+        found = await self._read_stale(self._key)
+        self._on_store_answer()
+        if found is not None and found.version > self._version:
+            self._apply_stored(found)
+
     async def _read_and_watch(self) -> float:
         if not self.connected or not self._held.revision:
             found = await self._store.get(self._key)
@@ -228,13 +261,21 @@
             return self._next_empty_store_pause()
         return EARLY_ANSWER_PAUSE_SECONDS
 
+    def _should_watch(self) -> bool:
+        if not (self.connected and self._held.revision) or self._isolated():
+            return True
+        return self._instance in self._watchers()
+
+    def _watchers(self) -> set[str]:
+        return watchers.select({self._instance, *self._live_instances()})
+
     def _watch_seconds(self) -> float:
         """Returns the seconds until this instance's turn to renew its watch.
 
         Turns are based on wall-clock time, since a change of the configuration
         ends the watches of all instances at once.
         """
-        ids = sorted({self._instance, *self._live_instances()})
+        ids = sorted({self._instance, *self._watchers()})
         period = MAX_PERIOD_SECONDS
         if self._clock.seconds() - self._started_at >= SETTLE_SECONDS:
             period = max(MIN_PERIOD_SECONDS, len(ids) * RENEWAL_SECONDS)
@@ -282,7 +323,7 @@
                 self._call_peer(self._random_peer(), 0)
             return None
         lag = self._clock.seconds() - self.newer_peers.since
-        if self.connected and lag < WATCH_LAG_SECONDS:
+        if self.connected and self._watches and lag < WATCH_LAG_SECONDS:
             return WATCH_LAG_SECONDS - lag
         if len(self._calls_in_flight) < MAX_CALLS:
             self._call_peer(*self.newer_peers.pop(self._reachable))
@@ -321,7 +362,8 @@
 
     def _schedule_watch_check(self, now: float) -> None:
         """Renews the watch unless it soon delivers the revision as well."""
-        if self.connected and self._watch_started_at <= now:
+        watching = self.connected and self._watches
+        if watching and self._watch_started_at <= now:
             _cancel(self._watch_check_timer)
             self._watch_check_timer = self._clock.callLater(
                 STALLED_WATCH_SECONDS,
@@ -352,9 +394,17 @@
         self._announced_revision = max(self._announced_revision, revision)
         peer = payload[_REVISION.size :].decode("utf-8", "replace")
         # The sender waited before its broadcast, so the lag has passed already.
-        self._note_newer_peer(
-            peer, revision, self._clock.seconds() - WATCH_LAG_SECONDS
-        )
+        since = self._clock.seconds() - WATCH_LAG_SECONDS
+        for newer in self._holders(peer):
+            self._note_newer_peer(newer, revision, since)
+
+    def _holders(self, sender: str) -> list[str]:
+        """Returns instances that have the revision of a broadcast."""
+        if self._watches:
+            return [sender]
+        others = sorted(self._watchers() - {self._instance, sender})
+        number = min(len(others), ASKED_WATCHERS - 1)
+        return [sender, *self._rng.sample(others, number)]
 
     def _on_peer_revision(self, peer: str, revision: int) -> None:
         self._note_newer_peer(peer, revision, self._clock.seconds())
--- a/src/cicadafront/platform/store.py
+++ b/src/cicadafront/platform/store.py
@@ -3,7 +3,7 @@
 import base64
 import collections
 import json
-from collections.abc import Coroutine, Sequence
+from collections.abc import Coroutine, Mapping, Sequence
 from typing import Any, TypeVar
 from urllib import parse
 
@@ -65,6 +65,10 @@
         """Reads one key."""
         return _convert_decode_errors(self._get(key))
 
+    def get_stale(self, key: str) -> "defer.Deferred[ports.Versioned | None]":
+        """Reads one key; the result may be seconds old and costs a tenth."""
+        return _convert_decode_errors(self._get(key, {"stale_ok": 1}))
+
     def list(self, prefix: str) -> "defer.Deferred[dict[str, ports.Versioned]]":
         """Reads all keys with a prefix."""
         return _convert_decode_errors(self._list(prefix))
@@ -158,9 +162,12 @@
             )
         return reply.status, _parse_reply(reply, allow_empty)
 
-    async def _get(self, key: str) -> ports.Versioned | None:
+    async def _get(
+        self, key: str, options: Mapping[str, Any] = {}
+    ) -> ports.Versioned | None:
+        query = {"key": key, **options}
         status, document = await self._call(
-            "GET", "/-/kv-key", query={"key": key}, accepted=(_NOT_FOUND,)
+            "GET", "/-/kv-key", query=query, accepted=(_NOT_FOUND,)
         )
         if status == _NOT_FOUND:
             # A watch continues from here and returns the first version.
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -191,10 +191,12 @@
             revisions=self.membership.revisions,
             calls=self.calls,
             held=self.held,
+            read_stale=self.store.get_stale,
             on_store_recovered=self.registration.store_recovered,
             reachable=lambda id: self._instance_usable(
                 self.reactor.seconds(), id
             ),
+            isolated=lambda: self.gossip.isolated(self.reactor.seconds()),
         )
 
     def _build_request_path(self) -> None:
--- a/tests/config/convergence.py
+++ b/tests/config/convergence.py
@@ -156,6 +156,7 @@
         """Calls another instance; fails if a path is blocked either way."""
         fleet = self.fleet
         fleet.calls += 1
+        fleet.asked[instance] += 1
         done = defer.Deferred()
         fleet.clock.callLater(
             timeout,
@@ -189,6 +190,8 @@
         self.clock = task.Clock()
         self.server = StoreServer()
         self.calls = 0
+        # Calls received by each instance.
+        self.asked: collections.Counter[str] = collections.Counter()
         self.document_bytes = 0
         cores = self.net.fleet(size, parameters=GOSSIP_PARAMETERS)
         self.instances = {
@@ -214,6 +217,10 @@
             self.net.run(STEP_SECONDS)
             self.clock.advance(STEP_SECONDS)
 
+    def store_calls(self):
+        """Returns the number of calls to the store so far."""
+        return sum(each.store.calls for each in self.instances.values())
+
     def behind(self, revision):
         """Returns the ids of the instances that run an older revision."""
         return [
--- a/tests/config/test_convergence.py
+++ b/tests/config/test_convergence.py
@@ -4,7 +4,7 @@
 
 from parameterized import parameterized
 
-from cicadafront.config import follow
+from cicadafront.config import follow, watchers
 from tests.config import convergence
 
 # Time within which an accepted configuration must be active everywhere.
@@ -56,6 +56,33 @@
         fleet.run(0.2)
         self.assertEqual((fleet.behind(3), fleet.calls), ([], calls))
 
+    def test_revision_costs_a_large_fleet_few_calls(self):
+        size = 100
+        fleet = convergence.Fleet(size, 1)
+        before = fleet.store_calls()
+        fleet.server.write(b"2")
+        # Instances that do not watch must not wait for a later message.
+        self.assertLess(fleet.seconds_to(2, IN_FORCE_SECONDS), 0.5)
+        fleet.run(1.0)
+        # Each watcher watches again.
+        spent = fleet.store_calls() - before
+        self.assertLessEqual(spent, watchers.MIN_WATCHERS + 5)
+        # Nobody is called by all others at the same time.
+        [(_, most)] = fleet.asked.most_common(1)
+        self.assertLessEqual(most, 4 * size / watchers.MIN_WATCHERS)
+
+    def test_revision_arrives_while_the_store_rejects_all_watchers(self):
+        fleet = convergence.Fleet(60, 1)
+        for id in watchers.select(fleet.instances):
+            fleet.instances[id].store.kind = "away"
+        fleet.server.write(b"2")
+        # Ends the watches that have begun before.
+        limit = follow.MAX_PERIOD_SECONDS + follow.STALE_READ_SECONDS
+        fleet.run(limit)
+        fleet.server.write(b"3")
+        fleet.run(follow.STALE_READ_SECONDS / 2)
+        self.assertEqual(fleet.behind(3), [])
+
     @parameterized.expand([(4,), (30,), (100,)])
     def test_idle_fleet_makes_one_call_per_turn(self, size):
         fleet = convergence.Fleet(size, 1)
