Say ready only once the fleet and its targets are known

A process that started under traffic answered its readiness with 200 as soon as it had a configuration, 10 ms after the store's first answer. Callers came while it knew no target, and were refused with no_target. The reason is logged when it changes.

--- a/src/cicadafront/config/model.py
+++ b/src/cicadafront/config/model.py
@@ -119,14 +119,15 @@
     priority: int = 0
     split: tuple[Share, ...] = attrs.field(default=(), converter=_shares)
 
+    def services(self) -> list[str]:
+        """Returns the services to which the route may send requests."""
+        if not self.split:
+            return [self.service]
+        return [share.service for share in self.split if share.weight > 0]
+
     def serves(self, service: str) -> bool:
         """Returns whether the route may send requests to the service."""
-        if not self.split:
-            return service == self.service
-        return any(
-            share.service == service and share.weight > 0
-            for share in self.split
-        )
+        return service in self.services()
 
 
 def parse_token(token: str) -> tuple[str, str] | None:
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -29,7 +29,7 @@
     hedges,
     picker,
 )
-from cicadafront.sidecar import endpoints, settings, watch
+from cicadafront.sidecar import endpoints, readiness, settings, watch
 from cicadafront.telemetry import logs, metrics, tracing
 
 # Time for which new requests are accepted during a planned stop. Callers notice
@@ -130,6 +130,7 @@
             sidecar_settings.rate_tolerated_extra,
         )
         self.leaving = False
+        self._last_readiness: readiness.Readiness | None = None
         self._has_joined = False
         self._started = reactor.seconds()
         # Replaced by the caller as soon as the links exist.
@@ -359,9 +360,26 @@
     ) -> endpoints.Response:
         if head.path.partition("?")[0] != wire_names.READY_PATH:
             return endpoints.Response(404)
-        ready = self.held.revision > 0 and not self.leaving
+        found = self._readiness()
+        if found is not self._last_readiness:
+            self._last_readiness = found
+            _log.info("readiness changed.", readiness=found.value)
+        ready = found is readiness.Readiness.READY
         return endpoints.Response(200 if ready else 503)
 
+    def _readiness(self) -> readiness.Readiness:
+        return readiness.Knowledge(
+            configured=self.held.revision > 0,
+            joined=self.membership.joined,
+            routable=all(map(self.directory.targets, self._routed_services())),
+            leaving=self.leaving,
+            age=self.reactor.seconds() - self._started,
+        ).readiness()
+
+    def _routed_services(self) -> set[str]:
+        routes = self.held.configuration.routes.values()
+        return {service for route in routes for service in route.services()}
+
     def _heartbeat(
         self, head: model.RequestHead, body: bytes
     ) -> endpoints.Response:
