--- a/src/cicadafront/membership/gossip.py
+++ b/src/cicadafront/membership/gossip.py
@@ -170,6 +170,14 @@
         )
         return changed
 
+    def take_changed_instances(self) -> set[str]:
+        """Returns and clears the ids of the instances that changed."""
+        changed, self._known.changed_instances = (
+            self._known.changed_instances,
+            set(),
+        )
+        return changed
+
     def records_of(self, id: str) -> list[records.Record]:
         """Returns the records of an instance and of its targets."""
         member = self._known.members.get(id)
--- a/src/cicadafront/membership/table.py
+++ b/src/cicadafront/membership/table.py
@@ -78,6 +78,8 @@
         dead: Ids of the members that are marked dead.
         changed_services: Names of services whose targets changed since the
             set was last cleared.
+        changed_instances: Ids of the instances whose own records changed since
+            the set was last cleared.
     """
 
     def __init__(self) -> None:
@@ -85,6 +87,7 @@
         self.buckets = [0] * BUCKETS
         self.dead: set[str] = set()
         self.changed_services: set[str] = set()
+        self.changed_instances: set[str] = set()
         self._services: dict[str, dict[Key, records.TargetRecord]] = {}
         self._by_hash: dict[int, str] = {}
         self._bucket_ids: list[dict[str, None]] = [{} for _ in range(BUCKETS)]
@@ -160,6 +163,7 @@
                 self._by_content.pop(member.record.content(), None)
             member.record, member.changed_at = record, now
         member.digest ^= record.digest()
+        self.changed_instances.add(record.id)
         self._by_content[record.content()] = record.id
         self._update_index(member, remove=False)
         self._mark_services_changed(member)
--- a/src/cicadafront/membership/view.py
+++ b/src/cicadafront/membership/view.py
@@ -81,6 +81,10 @@
                 self._targets[service] = cached
         return list(cached)
 
+    def take_changed_instances(self) -> set[str]:
+        """Returns the ids of the instances that changed since the last call."""
+        return self._core.take_changed_instances()
+
     def reachable(self, id: str) -> bool:
         """Returns whether this instance can reach another one directly."""
         return self._core.reachable(id)
--- a/tests/sidecar/test_watch.py
+++ b/tests/sidecar/test_watch.py
@@ -16,10 +16,17 @@
 
     def __init__(self):
         self.known = [ports.InstanceInfo("n2", 7, "dc", ("", 0))]
+        self.changes = {"n2"}
+        self.asked = []
         self.changed = None
 
-    def instances(self):
-        return self.known
+    def instance(self, id):
+        self.asked.append(id)
+        return next((info for info in self.known if info.id == id), None)
+
+    def take_changed_instances(self):
+        taken, self.changes = self.changes, set()
+        return taken
 
     def on_change(self, handler):
         self.changed = handler
@@ -37,8 +44,22 @@
         watch.FleetWatch(directory)
         directory.changed()
         directory.known = [attrs.evolve(directory.known[0], alive=False)]
+        directory.changes = {"n2"}
         directory.changed()
         line = json.loads(stream.getvalue().splitlines()[-1])
         self.assertEqual(line["text"], "membership: an instance is lost.")
         self.assertEqual((line["other"], line["before"]), ("n2", "alive"))
         self.assertNotIn("instance", line)
+
+    def test_change_costs_the_changed_instances_only(self):
+        directory = Directory()
+        watch.FleetWatch(directory)
+        directory.changed()
+        directory.known += [
+            ports.InstanceInfo(f"n{number}", 1, "dc", ("", 0))
+            for number in range(3, 300)
+        ]
+        directory.asked.clear()
+        directory.changes = {"n7"}
+        directory.changed()
+        self.assertEqual(directory.asked, ["n7"])
