Let a newcomer broadcast soon after it has learned the fleet

What an instance learned was forgotten at 8 records a second, without a limit on what counts. An instance that learns 1,300 others by comparisons would not have broadcast its own target for minutes, and comparisons alone take about a second for each factor of 10 in the size.

--- a/src/cicadafront/membership/pace.py
+++ b/src/cicadafront/membership/pace.py
@@ -18,6 +18,9 @@
 MAX_LEARNED = 12.0
 # Learned records that are forgotten per second.
 FORGOTTEN_PER_SECOND = 8.0
+# Learned records that count at most. A newcomer learns the whole fleet at once
+# and must be able to broadcast its own changes soon after.
+MAX_REMEMBERED = 2 * MAX_LEARNED
 # An instance cannot tell a calm fleet from one that starts together with it
 # before it has compared its state with some peers.
 OBSERVATION_SECONDS = 0.6
@@ -60,7 +63,7 @@
             records: Number of records that were new to this instance.
             compared: Whether a comparison brought them.
         """
-        self._learned = self._level(now) + records
+        self._learned = min(MAX_REMEMBERED, self._level(now) + records)
         self._updated = now
         if compared:
             self._compare_soon(now)
--- a/tests/membership/test_pace.py
+++ b/tests/membership/test_pace.py
@@ -73,6 +73,12 @@
         one.learned(0.0, learned, compared=True)
         self.assertIs(one.spread(now), expected)
 
+    def test_newcomer_broadcasts_soon_after_it_learned_the_fleet(self):
+        one = met()
+        one.learned(0.2, 2600, compared=True)
+        self.assertIs(one.spread(0.7), pace.Spread.COMPARE)
+        self.assertIs(one.spread(2.0), pace.Spread.BROADCAST)
+
     def test_instance_without_peers_waits(self):
         one = pace.Pace(MAX_INTERVAL, 0.0)
         self.assertIs(one.spread(100.0), pace.Spread.WAIT)
