--- a/src/cicadafront/membership/pace.py
+++ b/src/cicadafront/membership/pace.py
@@ -13,8 +13,8 @@
 
 # Shortest interval between comparisons, used while they bring new records.
 MIN_INTERVAL_SECONDS = 0.2
-# A change is broadcast only while fewer records than this were learned lately.
-# Broadcasting as many changes of other instances takes 100 datagrams.
+# A change is broadcast only while fewer records than this were learned lately
+# other than by broadcasts. Broadcasting as many takes 100 datagrams.
 MAX_LEARNED = 12.0
 # Learned records that are forgotten per second.
 FORGOTTEN_PER_SECOND = 8.0
