--- a/src/cicadafront/membership/exchange.py
+++ b/src/cicadafront/membership/exchange.py
@@ -159,8 +159,8 @@
         old_me, learned = self._state.me, self._state.learned.records
         newer = self._state.merge(now, message.carried, spread=not update)
         self._state.merge_claims(now, message.claims)
-        # What broadcasts bring is merged later and does not count: they reach all
-        # instances, so that no comparison has to follow them.
+        # What broadcasts bring is merged later and does not count: they reach
+        # all instances, so that no comparison has to follow them.
         gained = self._state.learned.records - learned
         if gained:
             self._state.pace.learned(now, gained, compared=update)
