--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -199,6 +199,7 @@
         self.store_address = f"{self.net}.200", _free_port(f"{self.net}.200")
         self.nodes: list[Node] = []
         self.sent: dict[str, tuple[str, float]] = {}
+        self.limits: dict[str, int] = {"rate_per_s": 0}
         self.tasks: set[asyncio.Task[int]] = set()
         self._record = record.open("w")
         self._ids = itertools.count(1)
@@ -225,7 +226,7 @@
                 "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
-            "tenants": [{"name": "t1", "api_keys": ["key-1"], "rate_per_s": 0}],
+            "tenants": [{"name": "t1", "api_keys": ["key-1"], **self.limits}],
             "virtual_hosts": [{"host": HOST, "paths": routes}],
         }
         value = base64.b64encode(json.dumps(document).encode()).decode()
