Refuse heartbeats whose text cannot be sent on

Cause: JSON may hold text that has no encoding, and `fields.string` returned it.

Related paths with the same cause: the id of a target (from the path of the heartbeat) was not checked at all and is written into the header that names the expected target, so that "%0d%0a" in it added a header line to every request; entries of the store; lists of strings in the configuration.

Change: strings of documents must be encodable, and `fields.identifier` decides which text may name a target or service: encodable, without control characters, at most 200 bytes. Such a heartbeat gets 400 and changes nothing.

Before the fix 11 of the 60 tests of the two modules failed: the 8 new cases of tests.platform.test_heartbeats and the 3 of tests.sidecar.test_deployment.test_heartbeat_that_cannot_be_passed_on.

--- a/src/cicadafront/fields.py
+++ b/src/cicadafront/fields.py
@@ -8,6 +8,7 @@
 import json
 import math
 import socket
+import unicodedata
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, TypeVar
 
@@ -20,6 +21,9 @@
 MAX_INTEGER = 2**63 - 1
 MAX_NUMBER = 1e12
 MAX_PORT = 65_535
+# Longest id of a target or name of a service, in bytes. Names of this length
+# still fit the datagrams between instances.
+MAX_NAME_BYTES = 200
 
 Item = Mapping[str, Any]
 _T = TypeVar("_T")
@@ -107,6 +111,8 @@
     value = _list(holder, name, required)
     if not all(isinstance(each, str) and each for each in value):
         raise _invalid(name, "a list of non-empty strings")
+    if not all(map(_is_encodable, value)):
+        raise _invalid(name, "a list of valid Unicode strings")
     return value
 
 
@@ -124,6 +130,45 @@
     value = holder.get(name)
     if not isinstance(value, str) or not value:
         raise _invalid(name, "a non-empty string")
+    if not _is_encodable(value):
+        raise _invalid(name, "a valid Unicode string")
+    return value
+
+
+def _is_encodable(text: str) -> bool:
+    """Returns whether text can be sent on; lone surrogates cannot.
+
+    JSON allows them, escaped, in strings.
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def identifier(holder: Item, name: str) -> str:
+    """Returns the value of a field that holds a name for headers and logs."""
+    return check_identifier(string(holder, name), name)
+
+
+def check_identifier(value: str, name: str) -> str:
+    """Returns a name that can be sent in headers and between instances.
+
+    Args:
+        value: The name.
+        name: What it names, for the error message.
+
+    Raises:
+        FieldError: The name is empty, longer than `MAX_NAME_BYTES`, or has
+            control characters or text that cannot be encoded.
+    """
+    if not value or not _is_encodable(value):
+        raise _invalid(name, "a valid, non-empty Unicode string")
+    if len(value.encode()) > MAX_NAME_BYTES:
+        raise _invalid(name, f"of at most {MAX_NAME_BYTES} bytes")
+    if any(unicodedata.category(each) == "Cc" for each in value):
+        raise _invalid(name, "free of control characters")
     return value
 
 
--- a/src/cicadafront/membership/stored_target.py
+++ b/src/cicadafront/membership/stored_target.py
@@ -30,8 +30,8 @@
         return None
     try:
         return heartbeat_registry.Heartbeat(
-            target=fields.string(stored, "id"),
-            service=fields.string(stored, "service"),
+            target=fields.identifier(stored, "id"),
+            service=fields.identifier(stored, "service"),
             address=fields.host_and_port(stored, "address"),
             slots=fields.integer(
                 stored, "slots", minimum=1, maximum=heartbeat_registry.MAX_SLOTS
--- a/src/cicadafront/platform/heartbeats.py
+++ b/src/cicadafront/platform/heartbeats.py
@@ -28,16 +28,16 @@
         body: Request body.
 
     Raises:
-        HeartbeatError: A field is missing, has the wrong type or is out of
-            range.
+        HeartbeatError: A field is missing, has the wrong type, is out of
+            range, or cannot be passed on to other processes.
     """
     try:
         message = fields.parse(body)
         info = fields.item(message, "info")
         status = fields.item(message, "status")
         return heartbeat_registry.Heartbeat(
-            target=target,
-            service=fields.string(info, "service"),
+            target=fields.check_identifier(target, "id"),
+            service=fields.identifier(info, "service"),
             address=fields.address(message, "address"),
             slots=fields.integer(
                 info, "slots", minimum=1, maximum=heartbeat_registry.MAX_SLOTS
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -75,6 +75,9 @@
             ("born_negative", {**HEARTBEAT, "born": -1}),
             ("born_large", {**HEARTBEAT, "born": 10**400}),
             ("service", {**HEARTBEAT, "info": {**INFO, "service": 3}}),
+            ("surrogate", {**HEARTBEAT, "info": {**INFO, "service": "\ud800"}}),
+            ("control", {**HEARTBEAT, "info": {**INFO, "service": "a\r\nb"}}),
+            ("long", {**HEARTBEAT, "info": {**INFO, "service": "s" * 20_000}}),
             ("list", []),
             ("text", "x"),
         ]
@@ -83,6 +86,16 @@
         with self.assertRaises(heartbeats.HeartbeatError):
             decode(heartbeat)
 
+    @parameterized.expand([("a\r\nb",), ("a\x00",), ("\ud800",), ("i" * 201,)])
+    def test_target_id_that_cannot_be_sent(self, id):
+        with self.assertRaises(heartbeats.HeartbeatError):
+            heartbeats.decode(id, json.dumps(HEARTBEAT).encode())
+
+    def test_surrogate_in_raw_bytes(self):
+        body = json.dumps(HEARTBEAT).encode().replace(b"reads", b"\xed\xa0\x80")
+        with self.assertRaises(heartbeats.HeartbeatError):
+            heartbeats.decode("t1", body)
+
     @parameterized.expand([(b"",), (b"\xff",), (b"{",), (b"[" * 100_000,)])
     def test_malformed_body(self, body):
         with self.assertRaises(heartbeats.HeartbeatError):
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -5,6 +5,7 @@
 import unittest
 
 import treq
+from parameterized import parameterized
 from twisted.internet import defer, task
 
 from cicadafront.cli import loop
@@ -65,16 +66,16 @@
         self.built = built
         self.number = 0
 
-    def send_heartbeat(self, state="ready"):
-        """Sends a heartbeat of the target."""
+    def send_heartbeat(self, state="ready", service="reads", id="", born=1):
+        """Sends a heartbeat, of the target unless it names another id."""
         self.number += 1
         body = {
             "address": f"{HOST}:{self.listening.getHost().port}",
-            "info": {"service": "reads", "slots": 3},
+            "info": {"service": service, "slots": 3},
             "status": {"state": state, "sequence": self.number},
-            "born": 1,
+            "born": born,
         }
-        id = f"t-{self.settings.instance}"
+        id = id or f"t-{self.settings.instance}"
         return self.call(
             "heartbeats",
             f"/-/instances/{id}/heartbeat",
@@ -216,6 +217,29 @@
         self.assertEqual(self.run_test(leave()), 200)
         self.assertEqual(self.one.target.seen, [])
 
+    @parameterized.expand(
+        [
+            ("unencodable_service", {"service": "\ud800"}),
+            ("control_characters_in_the_service", {"service": "a\r\nb"}),
+            ("control_characters_in_the_id", {"id": "t-9%0d%0aHost:%20b"}),
+        ]
+    )
+    def test_heartbeat_that_cannot_be_passed_on(self, _name, changes):
+        # Guards against an instance that closes every caller's connection
+        # after one such heartbeat.
+        async def send():
+            changed = {"id": "t-other", "born": 2, **changes}
+            status, _ = await self.one.send_heartbeat(**changed)
+            self.assertEqual(status, 400)
+            for number in range(8):
+                instance = self.instances[number % 2]
+                answer = await self.send_request(instance)
+                self.assertEqual(answer, (200, b"ok"))
+
+        self.run_test(send())
+        self.assertNotEqual(self.one.target.seen, [])
+        self.assertNotEqual(self.two.target.seen, [])
+
     def test_withdrawn_key(self):
         async def withdraw():
             tenant = {**DOCUMENT["tenants"][0], "api_keys": ["k2"]}
