Accept heartbeats only for the service that the settings name

Cause: the registry compared the address of a heartbeat with the settings but not its service, so that any later start replaced the target; `local_service` preferred the service of the heartbeat to that of the settings.

Change: a heartbeat, and the target that a restarted process reads from its entry, must be of the service in the settings. A target that already runs may still report that it leaves after the settings have changed. The service of requests comes from the settings alone, which must now state it: the platform always does.

Ruled out: that a machine's target changes its service before the settings do.

tests.sidecar.test_deployment.test_heartbeat_of_another_service fails without the change (1 of 14 in its module), and so do the new rows of tests.membership.test_heartbeat_registry, which need its argument.

--- a/src/cicadafront/membership/heartbeat_registry.py
+++ b/src/cicadafront/membership/heartbeat_registry.py
@@ -2,6 +2,7 @@
 
 The target registers itself with heartbeats. Heartbeats may be delayed or
 duplicated, and may come from an earlier incarnation or from another process.
+Only the address and service that the settings name can belong to the target.
 The newest incarnation at the target's address takes precedence, and within an
 incarnation the highest heartbeat number.
 """
@@ -72,6 +73,7 @@
         instance: Id of this instance.
         data_centre: Data centre of this instance.
         address: Host and port of the local target.
+        service: Service of the local target.
         on_leaving: Called with the id of a target that takes no new requests.
         on_gone: Called with the id of a target that was removed.
         on_change: Called when a target is registered by a heartbeat, starts
@@ -79,6 +81,7 @@
 
     Attributes:
         address: Host and port of the local target.
+        service: Service of the local target, from the settings.
         counts: Number of ignored heartbeats and deregistrations, by reason.
     """
 
@@ -88,11 +91,13 @@
         instance: str,
         data_centre: str,
         address: tuple[str, int],
+        service: str,
         on_leaving: Callable[[str], None] = lambda target: None,
         on_gone: Callable[[str], None] = lambda target: None,
         on_change: Callable[[], None] = lambda: None,
     ):
         self.address = address
+        self.service = service
         self.counts: collections.Counter[str] = collections.Counter()
         self._announcer = announcer
         self._instance = instance
@@ -105,11 +110,6 @@
             collections.OrderedDict()
         )
 
-    @property
-    def service(self) -> str:
-        """Service of the target; empty while none is registered."""
-        return self._current.heartbeat.service if self._current else ""
-
     def local(self, id: str) -> agent_targets.LocalTarget | None:
         """Returns a target, or None if it is not local to this instance."""
         current = self._current
@@ -142,11 +142,9 @@
             )
             return
         current = self._current
-        same = current is not None and (
-            current.heartbeat.target == heartbeat.target
-            and current.heartbeat.incarnation == heartbeat.incarnation
-        )
-        if current is not None and same:
+        if current is not None and _same_incarnation(
+            current.heartbeat, heartbeat
+        ):
             current.heartbeat, current.last_seen, current.restored = (
                 heartbeat,
                 now,
@@ -241,9 +239,16 @@
         """Returns why a heartbeat is ignored; empty if it is valid."""
         if heartbeat.address != self.address:
             return "address of another machine"
+        current = self._current
+        if heartbeat.service != self.service and not (
+            # The settings have changed, and the target still runs.
+            current is not None
+            and _same_incarnation(current.heartbeat, heartbeat)
+            and current.heartbeat.service == heartbeat.service
+        ):
+            return "service of another machine"
         if heartbeat.incarnation <= self._ended.get(heartbeat.target, -1):
             return "ended incarnation"
-        current = self._current
         if current is None:
             return ""
         if heartbeat.incarnation < current.heartbeat.incarnation:
@@ -299,3 +304,7 @@
                 state=state,
             ),
         )
+
+
+def _same_incarnation(one: Heartbeat, other: Heartbeat) -> bool:
+    return (one.target, one.incarnation) == (other.target, other.incarnation)
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -221,6 +221,7 @@
             self.settings.instance,
             self.settings.data_centre,
             self.settings.target,
+            self.settings.service,
             on_leaving=self.gate.refuse_queued,
             on_gone=self.gate.forget,
             on_change=self.registration.target_changed,
@@ -329,7 +330,7 @@
 
     def local_service(self) -> str:
         """Returns the service of the local target."""
-        return self.registry.service or self.settings.service
+        return self.settings.service
 
     def apply_settings(
         self, sidecar_settings: settings.SidecarSettings
@@ -341,6 +342,7 @@
         """
         self.settings = sidecar_settings
         self.registry.address = sidecar_settings.target
+        self.registry.service = sidecar_settings.service
 
     def count_logs(self, pipe: logs.Pipe) -> None:
         """Adds a metric of the dropped log lines."""
--- a/src/cicadafront/sidecar/settings.py
+++ b/src/cicadafront/sidecar/settings.py
@@ -45,7 +45,7 @@
         metrics: Address for metrics.
         store: Address of the platform's key-value store.
         target: Address of the local target.
-        service: Service of the local target until a heartbeat states it.
+        service: Service of the local target.
         stop_seconds: Time from SIGTERM to SIGKILL.
         retry_share: Fraction of a service's requests, counted fleet-wide,
             that may be sent to a second target.
@@ -70,7 +70,7 @@
     metrics: Address
     store: Address
     target: Address
-    service: str = ""
+    service: str
     stop_seconds: float = 6.0
     retry_share: float = 0.2
     retry_extra: float = 60.0
@@ -82,7 +82,6 @@
 
 
 _name = schema.text(r"[^\x00-\x20]{1,200}", "a name without spaces")
-_optional_name = schema.text(r"[^\x00-\x20]{0,200}", "a name without spaces")
 
 _TOP: schema.Fields = {
     "instance": schema.Field(_name, required=True),
@@ -96,7 +95,7 @@
 _SIDECAR: schema.Fields = {
     "store": schema.Field(settings.address, required=True),
     "target": schema.Field(settings.address, required=True),
-    "service": schema.Field(_optional_name),
+    "service": schema.Field(_name, required=True),
     "stop_seconds": schema.Field(schema.number(0, 3600, " (seconds)")),
     "retry_share": schema.Field(schema.number(0, 10)),
     "retry_extra": schema.Field(schema.number(0, 1e6)),
--- a/tests/membership/test_heartbeat_registry.py
+++ b/tests/membership/test_heartbeat_registry.py
@@ -45,6 +45,7 @@
             "n1",
             "dc",
             ADDRESS,
+            "reads",
             self.leaving.append,
             self.gone.append,
         )
@@ -66,6 +67,11 @@
             ("repeated", {"number": 5}),
             ("older_incarnation", {"number": 9, "incarnation": 99}),
             ("other_address", {"number": 9, "address": ("10.0.0.8", 8080)}),
+            ("other_service", {"number": 9, "service": "none"}),
+            (
+                "later_incarnation_of_another_service",
+                {"target": "t2", "incarnation": 200, "service": "none"},
+            ),
             (
                 "late_of_the_previous_target",
                 {"target": "t0", "incarnation": 50, "number": 99},
@@ -78,6 +84,25 @@
         self.assertIs(self.state(), model.TargetState.SERVING)
         self.assertEqual(self.leaving, [])
 
+    def test_target_of_another_service_is_not_registered(self):
+        # Guards against requests that bear a service which the machine of the
+        # instance does not run.
+        other = attrs.evolve(
+            FIRST, target="t2", incarnation=200, service="none"
+        )
+        self.registry.heartbeat(1.0, other)
+        self.registry.heartbeat(2.0, attrs.evolve(FIRST, number=6))
+        self.assertIsNone(self.state("t2"))
+        self.assertEqual(self.announcer.withdrawn, [])
+        self.assertEqual(self.registry.counts["service of another machine"], 1)
+
+    def test_target_keeps_reporting_after_the_settings_name_another(self):
+        self.registry.service = "pays"
+        self.registry.heartbeat(
+            1.0, attrs.evolve(FIRST, state=LEAVING, number=6)
+        )
+        self.assertIs(self.state(), LEAVING)
+
     def test_leaving_is_final(self):
         self.registry.heartbeat(
             1.0, attrs.evolve(FIRST, state=LEAVING, number=6)
@@ -139,6 +164,7 @@
             "n1",
             "dc",
             ADDRESS,
+            "reads",
             on_gone=self.gone.append,
             on_change=self.changed,
         )
@@ -178,6 +204,7 @@
     @parameterized.expand(
         [
             ("other_address", {"address": ("10.0.0.8", 8080)}),
+            ("other_service", {"service": "none"}),
             ("ended", {}),
         ]
     )
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -240,6 +240,24 @@
         self.assertNotEqual(self.one.target.seen, [])
         self.assertNotEqual(self.two.target.seen, [])
 
+    def test_heartbeat_of_another_service(self):
+        # Guards against requests that bear the service of such a heartbeat,
+        # and against the end of the real target.
+        async def send():
+            for service in ("none", "pays"):
+                await self.one.send_heartbeat(
+                    service=service, id="t-other", born=2
+                )
+            for _ in range(4):
+                self.assertEqual((await self.send_request())[0], 200)
+            self.assertEqual((await self.send_request(self.two))[0], 200)
+
+        self.run_test(send())
+        seen = [*self.one.target.seen, *self.two.target.seen]
+        services = {each["cicadafront-caller-service"] for _, each in seen}
+        self.assertEqual(services, {"reads"})
+        self.assertNotEqual(self.one.target.seen, [])
+
     def test_withdrawn_key(self):
         async def withdraw():
             tenant = {**DOCUMENT["tenants"][0], "api_keys": ["k2"]}
