Let a new process know which targets have left

Cause: the ended incarnations and the numbers of heartbeats are kept in memory only, and the entry in the store is `{}` once a target has left, so that the new process cannot tell a late heartbeat from a new target.

Change: `membership.handover` keeps facts that later processes must know, and hands them over in two ways, neither of which needs the other: each instance writes its own facts into its entry of the store, which a new process reads before heartbeats take effect; and the peer that sends the state of the fleet sends the facts as well, before the new process counts as joined and so before it is ready. `membership.departures` makes a target that has left such a fact and broadcasts it. The target gets its acknowledgement once the entry is written, at most 0.5 s later while the store does not answer: a kill right after the acknowledgement loses nothing.

Ruled out: an acknowledgement of the health path (a target may be unhealthy while its check passes, and the reverse), and waiting for a second heartbeat (two may be late).

--- a/src/cicadafront/membership/heartbeat_registry.py
+++ b/src/cicadafront/membership/heartbeat_registry.py
@@ -20,6 +20,9 @@
 # Number of ended incarnations that are kept, so that delayed heartbeats do not
 # register them again.
 MAX_ENDED_INCARNATIONS = 64
+# Heartbeats that are kept while a new process learns which targets have left.
+# The target sends one every 1.5 s.
+MAX_HELD_HEARTBEATS = 8
 # Largest number of slots that a target may report.
 MAX_SLOTS = 10_000
 # A target is removed after this time without a heartbeat. Several heartbeats in
@@ -78,6 +81,8 @@
         on_gone: Called with the id of a target that was removed.
         on_change: Called when a target is registered by a heartbeat, starts
             to leave or is removed.
+        on_departed: Called with the id and incarnation of a target that has
+            left, or whose address another one has taken over.
 
     Attributes:
         address: Host and port of the local target.
@@ -95,6 +100,7 @@
         on_leaving: Callable[[str], None] = lambda target: None,
         on_gone: Callable[[str], None] = lambda target: None,
         on_change: Callable[[], None] = lambda: None,
+        on_departed: Callable[[str, int], None] = lambda target, number: None,
     ):
         self.address = address
         self.service = service
@@ -105,6 +111,9 @@
         self._on_leaving = on_leaving
         self._on_gone = on_gone
         self._on_change = on_change
+        self._on_departed = on_departed
+        # Heartbeats that wait until it is known which targets have left.
+        self._held: list[Heartbeat] | None = None
         self._current: _CurrentTarget | None = None
         self._ended: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -129,8 +138,21 @@
         )
         return agent_targets.LocalTarget(target, *heartbeat.address)
 
+    def hold(self) -> None:
+        """Delays the effect of heartbeats until `release`."""
+        self._held = []
+
+    def release(self, now: float) -> None:
+        """Applies the delayed heartbeats; later ones are no longer delayed."""
+        held, self._held = self._held or [], None
+        for heartbeat in held:
+            self.heartbeat(now, heartbeat)
+
     def heartbeat(self, now: float, heartbeat: Heartbeat) -> None:
         """Registers or updates the target, unless the heartbeat is stale."""
+        if self._held is not None:
+            self._held = [*self._held, heartbeat][-MAX_HELD_HEARTBEATS:]
+            return
         rejection = self._rejection_reason(heartbeat)
         if rejection:
             self.counts[rejection] += 1
@@ -151,6 +173,8 @@
                 False,
             )
         else:
+            if current is not None:
+                self._departed(current.heartbeat)
             self._end(now)
             current = self._current = _CurrentTarget(heartbeat, now)
             self._on_change()
@@ -175,6 +199,7 @@
         current = self._current
         if current is None or current.heartbeat.target != id:
             self._record_end(id, incarnation)
+            self._on_departed(id, incarnation)
             return
         if incarnation and incarnation < current.heartbeat.incarnation:
             self.counts["older incarnation"] += 1
@@ -183,6 +208,18 @@
         self._leave(current)
         self._publish(now, current)
 
+    def recall(self, now: float, id: str, incarnation: int) -> None:
+        """Handles a target that left before this process started."""
+        self._record_end(id, incarnation)
+        current = self._current
+        if (
+            current is not None
+            and current.heartbeat.target == id
+            and current.heartbeat.incarnation <= incarnation
+        ):
+            self._leave(current)
+            self._publish(now, current)
+
     def serving_heartbeat(self) -> Heartbeat | None:
         """Returns the last heartbeat of the target, or None if it is leaving.
 
@@ -267,9 +304,13 @@
                 "a target is leaving; it gets no new work.",
                 target=current.heartbeat.target,
             )
+            self._departed(current.heartbeat)
             self._on_leaving(current.heartbeat.target)
             self._on_change()
 
+    def _departed(self, heartbeat: Heartbeat) -> None:
+        self._on_departed(heartbeat.target, heartbeat.incarnation)
+
     def _end(self, now: float) -> None:
         current = self._current
         if current is not None:
--- a/src/cicadafront/membership/service.py
+++ b/src/cicadafront/membership/service.py
@@ -13,6 +13,7 @@
     announce,
     codec,
     gossip,
+    handover,
     transfer,
     view,
 )
@@ -56,6 +57,7 @@
         calls: ports.PeerCalls,
         rng: random.Random,
         registry: announce.TargetRegistry | None = None,
+        facts: handover.Handover | None = None,
     ):
         self.directory = view.GossipDirectory(core)
         self.broadcaster = view.LocalBroadcaster(
@@ -70,6 +72,7 @@
         self._calls = calls
         self._rng = rng
         self._registry = registry
+        self._facts = facts or handover.Handover()
         self._port = None
         timing = loops.Timing(
             core.parameters.tick_seconds,
@@ -81,6 +84,7 @@
         self._transferring = False
         self._join_waiters: list[defer.Deferred[None]] = []
         calls.register(transfer.METHOD, self._serve_page)
+        calls.register(handover.METHOD, self._serve_facts)
 
     def start(self) -> None:
         """Opens the socket and starts to join the fleet.
@@ -152,7 +156,7 @@
     @defer.inlineCallbacks
     def _transfer(
         self, peer: str
-    ) -> Generator["defer.Deferred[bytes]", Any, None]:
+    ) -> Generator["defer.Deferred[Any]", Any, None]:
         after = ""
         try:
             while True:
@@ -167,6 +171,7 @@
                 self._core.load(now, items)
                 if not after:
                     break
+            yield self._fetch_facts(peer)
         except errors.CicadafrontError as failure:
             eliot.log_message(
                 message_type="gossip: state transfer failed",
@@ -179,6 +184,24 @@
         for deferred in waiting:
             deferred.callback(None)
 
+    @defer.inlineCallbacks
+    def _fetch_facts(
+        self, peer: str
+    ) -> Generator["defer.Deferred[bytes]", bytes, None]:
+        try:
+            reply = yield self._calls.call(
+                peer, handover.METHOD, b"", TRANSFER_TIMEOUT_SECONDS
+            )
+        except errors.CallFailedError as failure:
+            if failure.code != "method_unknown":
+                raise
+            # The peer runs an earlier version during an upgrade.
+            eliot.log_message(
+                message_type="gossip: a peer hands over no facts", peer=peer
+            )
+            return
+        self._facts.learn_reply(reply)
+
     def _transfer_ended(self, result) -> None:
         self._transferring = False
         if result is not None:
@@ -187,6 +210,9 @@
                 reason=str(result.value),
             )
 
+    def _serve_facts(self, caller: str, body: bytes) -> bytes:
+        return self._facts.for_peer()
+
     def _serve_page(self, caller: str, body: bytes) -> bytes:
         after = codec.decode_request(body)
         return transfer.page(self._core, after, self._reactor.seconds())
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from twisted.internet import defer
+
 from cicadafront import loops, model, ports, prober
 from cicadafront.agent import queue
 from cicadafront.config import current, follow
@@ -14,7 +16,9 @@
 from cicadafront.health import crashes, downstream, paths
 from cicadafront.limits import coordinators, retries, shares
 from cicadafront.membership import (
+    departures,
     gossip,
+    handover,
     heartbeat_registry,
     probing,
     records,
@@ -78,6 +82,8 @@
 # Time that a started instance needs to discover the others if all of them start
 # at the same time.
 SETTLE_SECONDS = 3.0
+# Targets take an acknowledgement that comes after 1 s for a lost one.
+MAX_ACKNOWLEDGEMENT_SECONDS = 0.5
 
 _log = logs.Log("sidecar")
 
@@ -159,8 +165,9 @@
         self.gossip = gossip.Gossip(
             me, self.rng, now, parameters=GOSSIP_PARAMETERS
         )
+        self.facts = handover.Handover()
         self.membership = service.MembershipService(
-            self.reactor, self.gossip, self.calls, self.rng
+            self.reactor, self.gossip, self.calls, self.rng, facts=self.facts
         )
         self.loops.keep(self.membership.loop)
         # The addresses of the other instances come from the store.
@@ -176,6 +183,8 @@
             alone=lambda: not self.gossip.peers(),
             target=self._target_to_store,
             restore_target=self._restore_target,
+            facts=self.facts,
+            on_first_read=self._release_heartbeats,
         )
 
     def _build_configuration(self) -> None:
@@ -216,6 +225,14 @@
             may_repeat=lambda: self.budget.may_repeat(self.reactor.seconds()),
             downstream_requests=self.downstream,
         )
+        self.departures = departures.Departures(
+            self.settings.instance,
+            self.membership.broadcaster,
+            self.facts,
+            lambda id, incarnation: self.registry.recall(
+                self.reactor.seconds(), id, incarnation
+            ),
+        )
         self.registry = heartbeat_registry.HeartbeatRegistry(
             self.gossip,
             self.settings.instance,
@@ -224,8 +241,10 @@
             self.settings.service,
             on_leaving=self.gate.refuse_queued,
             on_gone=self.gate.forget,
-            on_change=self.registration.target_changed,
+            on_change=self.registration.content_changed,
+            on_departed=self.departures.record,
         )
+        self.registry.hold()
         self.admission = shares.SharedAdmission(
             self.settings.instance,
             self.reactor,
@@ -271,6 +290,9 @@
                 self._expire_targets,
             )
 
+    def _release_heartbeats(self) -> None:
+        self.registry.release(self.reactor.seconds())
+
     def _instance_usable(self, now: float, instance: str) -> bool:
         # Missing gossip alone does not make an instance unusable: the links may
         # work although datagrams are lost.
@@ -384,7 +406,7 @@
 
     def _heartbeat(
         self, head: model.RequestHead, body: bytes
-    ) -> endpoints.Response:
+    ) -> "endpoints.Response | defer.Deferred[endpoints.Response]":
         call = wire_names.target_call(head)
         if call is None:
             return endpoints.Response(404)
@@ -392,15 +414,31 @@
         now = self.reactor.seconds()
         if deregisters:
             self.registry.leaving(now, target, heartbeats.incarnation(body))
-            return endpoints.Response(200, heartbeats.ACCEPTED)
+            return self._accepted_when_written()
         try:
             heartbeat = heartbeats.decode(target, body)
         except heartbeats.HeartbeatError as error:
             _log.info("rejected an invalid heartbeat.", reason=error.message)
             return endpoints.Response(400)
         self.registry.heartbeat(now, heartbeat)
+        if heartbeat.state is model.TargetState.LEAVING:
+            return self._accepted_when_written()
         return endpoints.Response(200, heartbeats.ACCEPTED)
 
+    def _accepted_when_written(self) -> "defer.Deferred[endpoints.Response]":
+        """Acknowledges that a target leaves, once the store has it.
+
+        The next process on this machine is then bound by it as well. If the
+        store does not answer, the other instances alone know of it.
+        """
+        written = self.registration.when_written()
+        written.addTimeout(
+            MAX_ACKNOWLEDGEMENT_SECONDS, self.reactor, lambda *_: None
+        )
+        return written.addCallback(
+            lambda _: endpoints.Response(200, heartbeats.ACCEPTED)
+        )
+
     def _metrics_page(
         self, head: model.RequestHead, body: bytes
     ) -> endpoints.Response:
--- a/src/cicadafront/sidecar/endpoints.py
+++ b/src/cicadafront/sidecar/endpoints.py
@@ -4,17 +4,24 @@
 since importing one takes longer than the rest of the start.
 """
 
+import http
 from collections.abc import Callable
+from typing import Any
 
 import attrs
+from twisted.internet import defer
+from twisted.python import failure
 
 from cicadafront import model
 from cicadafront.edge import caller
 from cicadafront.peer import exchange
+from cicadafront.telemetry import logs
 
 # Limit of request bodies. Heartbeats are smaller than 1 KB.
 MAX_BODY_BYTES = 64 * 1024
 
+_log = logs.Log("sidecar")
+
 
 @attrs.frozen
 class Response:
@@ -25,7 +32,9 @@
     content_type: bytes = b"application/json"
 
 
-Responder = Callable[[model.RequestHead, bytes], Response]
+Responder = Callable[
+    [model.RequestHead, bytes], Response | defer.Deferred[Response]
+]
 
 
 @attrs.frozen
@@ -67,7 +76,10 @@
 
     def end(self) -> None:
         if not self._done:
-            self._send(self._respond(self._head, self._body))
+            respond: Callable[..., Any] = self._respond
+            responded = defer.maybeDeferred(respond, self._head, self._body)
+            responded.addErrback(_failed)
+            responded.addCallback(self._send)
 
     def cancel(self) -> None:
         self._done = True
@@ -79,6 +91,8 @@
         pass
 
     def _send(self, response: Response) -> None:
+        if self._done:
+            return
         self._done = True
         fields = (
             (b"Content-Type", response.content_type),
@@ -89,3 +103,9 @@
         if response.body:
             self._caller.body(response.body)
         self._caller.end()
+
+
+def _failed(reason: failure.Failure) -> Response:
+    """Logs an unexpected error of a responder, which must not be silent."""
+    _log.error("an endpoint failed.", reason=reason.getTraceback())
+    return Response(http.HTTPStatus.INTERNAL_SERVER_ERROR)
--- /dev/null
+++ b/tests/membership/test_handover.py
@@ -0,0 +1,202 @@
+"""Tests of the facts that a process hands over to later processes."""
+
+import json
+import unittest
+
+from parameterized import parameterized
+
+from cicadafront import fields
+from cicadafront.membership import departures, handover
+
+DAY = 1_800_000_000
+
+
+class Process:
+    """The facts of one process, and those that were handed over to it."""
+
+    def __init__(self, time=DAY):
+        self.time = time
+        self.facts = handover.Handover(lambda: self.time)
+        self.learned = []
+        self.changes = 0
+        self.facts.on_fact("t", self._learned)
+        self.facts.on_own_change(self._changed)
+
+    def _learned(self, payload, age):
+        if payload == b"bad":
+            raise ValueError("malformed")
+        self.learned.append((payload, age))
+
+    def _changed(self):
+        self.changes += 1
+
+    def entry(self):
+        """Returns the entry in the store, as another process reads it."""
+        return json.loads(json.dumps({"facts": self.facts.for_store()}))
+
+
+class HandoverTest(unittest.TestCase):
+    """Guards against processes that forget what the one before them knew."""
+
+    def setUp(self):
+        self.old = Process()
+        self.old.facts.add("t", b"a", b"own", own=True)
+        self.old.facts.add("t", b"b", b"other", own=False)
+
+    def test_successor_learns_from_the_entry(self):
+        new = Process(DAY + 5)
+        new.facts.learn(self.old.entry(), own=True)
+        self.assertEqual(new.learned, [(b"own", 5.0)])
+        # The successor writes the fact again, with the time of the event.
+        self.assertEqual(new.entry(), self.old.entry())
+
+    def test_peer_hands_over_all_facts(self):
+        new = Process(DAY + 5)
+        new.facts.learn_reply(self.old.facts.for_peer())
+        self.assertEqual(new.learned, [(b"own", 5.0), (b"other", 5.0)])
+        self.assertEqual(new.entry(), {"facts": []})
+
+    def test_facts_of_others_are_not_stored(self):
+        stored = [item["payload"] for item in self.old.entry()["facts"]]
+        self.assertEqual(len(stored), 1)
+
+    def test_fact_that_was_learned_becomes_an_own_one(self):
+        new = Process()
+        new.facts.learn_reply(self.old.facts.for_peer())
+        self.assertFalse(new.facts.add("t", b"a", b"own", own=True))
+        self.assertEqual(len(new.entry()["facts"]), 1)
+
+    def test_chain_of_handovers_does_not_extend_a_fact(self):
+        # Guards against a refusal that lasts as long as processes restart.
+        process, seconds = self.old, 0
+        while seconds < handover.LIFETIME_SECONDS:
+            seconds += 50
+            following = Process(DAY + seconds)
+            following.facts.learn(process.entry(), own=True)
+            process = following
+        self.assertEqual(process.learned, [])
+
+    def test_expired_facts_are_not_handed_over(self):
+        self.old.time += handover.LIFETIME_SECONDS
+        self.assertEqual(self.old.entry(), {"facts": []})
+        self.assertEqual(json.loads(self.old.facts.for_peer()), {"facts": []})
+
+    def test_discarded_fact(self):
+        self.old.facts.discard("t", b"a")
+        self.assertEqual(self.old.entry(), {"facts": []})
+        self.assertEqual(self.old.changes, 2)
+
+    def test_clock_that_was_set_back(self):
+        new = Process(DAY - 5)
+        new.facts.learn(self.old.entry(), own=True)
+        self.assertEqual(new.learned, [(b"own", 0.0)])
+
+    def test_number_and_size_are_bounded(self):
+        for number in range(2000):
+            payload = b"%04d" % number * 250
+            self.old.facts.add("t", b"n", payload, own=number % 2 == 0)
+        stored = self.old.entry()["facts"]
+        size = len(json.dumps(stored))
+        self.assertLess(size, 1.1 * handover.MAX_STORED_BYTES)
+        self.assertLess(
+            len(self.old.facts.for_peer()), 1.1 * handover.MAX_REPLY_BYTES
+        )
+        new = Process()
+        new.facts.learn(self.old.entry(), own=True)
+        # The newest facts are kept.
+        self.assertEqual(new.learned[-1][0], b"1998" * 250)
+
+    @parameterized.expand(
+        [
+            ("topic", {"topic": ""}),
+            ("no_topic", {"topic": None}),
+            ("payload", {"payload": "%"}),
+            ("payload_type", {"payload": 3}),
+            ("subject", {"subject": "\ud800"}),
+            ("time", {"observed": -1}),
+            ("time_type", {"observed": "now"}),
+            ("malformed", {"payload": "YmFk"}),
+            ("unknown", {"topic": "u"}),
+        ]
+    )
+    def test_invalid_fact_hurts_no_other(self, _name, changes):
+        first, new = self.old.facts.for_store()[0], Process()
+        document = {"facts": [{**first, **changes}, first]}
+        new.facts.learn(document, own=True)
+        self.assertEqual(new.learned, [(b"own", 0.0)])
+        self.assertEqual(len(new.entry()["facts"]), 1)
+
+    @parameterized.expand([(b"[",), (b'{"facts": 3}',), (b'{"facts": [3]}',)])
+    def test_malformed_reply(self, reply):
+        with self.assertRaises(fields.FieldError):
+            Process().facts.learn_reply(reply)
+
+
+class Broadcaster:
+    """Broadcaster that keeps what is sent and delivers what a test sends."""
+
+    def __init__(self):
+        self.sent = []
+        self.handlers = {}
+
+    def broadcast(self, topic, payload):
+        self.sent.append(payload)
+
+    def on_broadcast(self, topic, handler):
+        self.handlers[topic] = handler
+
+
+class DeparturesTest(unittest.TestCase):
+    """Guards against a target that has left and is used after a restart."""
+
+    def setUp(self):
+        self.broadcaster = Broadcaster()
+        self.process, self.recalled = self.start("n1")
+
+    def start(self, instance):
+        facts, recalled = handover.Handover(lambda: DAY), []
+        found = departures.Departures(
+            instance,
+            self.broadcaster,
+            facts,
+            lambda id, incarnation: recalled.append((id, incarnation)),
+        )
+        return found, recalled
+
+    def facts(self, departures_):
+        return departures_._facts
+
+    def test_departure_is_sent_once(self):
+        for _ in range(2):
+            self.process.record("t1", 5)
+        self.assertEqual(len(self.broadcaster.sent), 1)
+
+    def test_next_process_recalls_it(self):
+        self.process.record("t1", 5)
+        new, recalled = self.start("n1")
+        stored = {"facts": self.facts(self.process).for_store()}
+        self.facts(new).learn(stored, own=True)
+        self.assertEqual(recalled, [("t1", 5)])
+        self.assertEqual(len(self.broadcaster.sent), 1)
+
+    def test_next_process_recalls_it_from_a_peer(self):
+        # The store may be away when a target leaves.
+        peer, of_peer = self.start("n2")
+        self.process.record("t1", 5)
+        self.broadcaster.handlers[departures.TOPIC](self.broadcaster.sent[0])
+        new, recalled = self.start("n1")
+        self.facts(new).learn_reply(self.facts(peer).for_peer())
+        self.assertEqual((recalled, of_peer), ([("t1", 5)], []))
+
+    @parameterized.expand(
+        [(b"",), (b"x" * 9,), (b"x" * 40,), (b"\0" * 8 + b"\1\0\xff",)]
+    )
+    def test_malformed_broadcast_is_ignored(self, payload):
+        self.broadcaster.handlers[departures.TOPIC](payload)
+        facts = self.facts(self.process)
+        self.assertEqual(json.loads(facts.for_peer()), {"facts": []})
+
+    @parameterized.expand([("t" * 256, 1), ("t", 2**64), ("t", -1)])
+    def test_departure_that_cannot_be_encoded(self, target, incarnation):
+        self.process.record(target, incarnation)
+        self.assertEqual(self.broadcaster.sent, [])
--- a/tests/membership/test_heartbeat_registry.py
+++ b/tests/membership/test_heartbeat_registry.py
@@ -235,3 +235,93 @@
     )
     def test_damaged_entry_restores_nothing(self, _name, stored):
         self.assertIsNone(stored_target.restore(stored))
+
+
+class DepartedTest(unittest.TestCase):
+    """Guards against a target that has left and returns by a late heartbeat.
+
+    The heartbeat may reach a process that was started after the target left.
+    """
+
+    def setUp(self):
+        self.departed = []
+        self.registry = self.start()
+
+    def start(self):
+        """Starts a process that knows nothing."""
+        return heartbeat_registry.HeartbeatRegistry(
+            Announcer(),
+            "n1",
+            "dc",
+            ADDRESS,
+            "reads",
+            on_departed=lambda *target: self.departed.append(target),
+        )
+
+    def leave_by_heartbeat(self):
+        self.registry.heartbeat(
+            1.0, attrs.evolve(FIRST, state=LEAVING, number=6)
+        )
+
+    def leave_by_deregistration(self):
+        self.registry.leaving(1.0, "t1", 100)
+
+    def replace(self):
+        self.registry.heartbeat(
+            1.0, attrs.evolve(FIRST, target="t2", incarnation=200)
+        )
+
+    @parameterized.expand(
+        [
+            ("leave_by_heartbeat",),
+            ("leave_by_deregistration",),
+            ("replace",),
+        ]
+    )
+    def test_late_heartbeat_at_the_next_process(self, how):
+        self.registry.heartbeat(0.0, FIRST)
+        getattr(self, how)()
+        self.assertEqual(self.departed, [("t1", 100)])
+        new = self.start()
+        new.recall(0.0, *self.departed[0])
+        new.heartbeat(1.0, attrs.evolve(FIRST, number=9))
+        self.assertIsNone(new.local("t1"))
+        new.heartbeat(2.0, attrs.evolve(FIRST, number=0, incarnation=101))
+        self.assertIsNotNone(new.local("t1"))
+
+    def test_deregistration_of_a_target_that_is_not_known_yet(self):
+        self.leave_by_deregistration()
+        self.assertEqual(self.departed, [("t1", 100)])
+
+    @parameterized.expand([("silent",), ("replaced",)])
+    def test_lost_target_has_not_departed(self, how):
+        self.registry.heartbeat(0.0, FIRST)
+        if how == "silent":
+            self.registry.expire(
+                heartbeat_registry.HEARTBEAT_TIMEOUT_SECONDS + 1
+            )
+        else:
+            self.registry.replaced(1.0, "t1")
+        self.assertEqual(self.departed, [])
+
+    def test_departure_that_is_learned_after_a_late_heartbeat(self):
+        self.registry.heartbeat(0.0, FIRST)
+        self.registry.recall(1.0, "t1", 100)
+        self.assertIs(self.registry.local("t1").target.state, LEAVING)
+
+    def test_departure_of_an_earlier_incarnation(self):
+        self.registry.heartbeat(0.0, FIRST)
+        self.registry.recall(1.0, "t1", 99)
+        self.assertIsNot(self.registry.local("t1").target.state, LEAVING)
+
+    def test_heartbeats_wait_until_departures_are_known(self):
+        self.registry.hold()
+        self.registry.heartbeat(0.0, FIRST)
+        self.registry.heartbeat(
+            0.5, attrs.evolve(FIRST, target="t2", incarnation=200)
+        )
+        self.assertIsNone(self.registry.local("t1"))
+        self.registry.recall(1.0, "t2", 200)
+        self.registry.release(1.0)
+        self.assertIsNotNone(self.registry.local("t1"))
+        self.assertIsNone(self.registry.local("t2"))
--- a/tests/membership/test_registration.py
+++ b/tests/membership/test_registration.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer, task
 
 from cicadafront import errors, loops, ports
-from cicadafront.membership import registration
+from cicadafront.membership import handover, registration
 
 
 class Store:
@@ -81,8 +81,12 @@
         self.alone = True
         self.target = {}
         self.restored = []
+        self.first_reads = 0
 
-    def register(self, name="n1", port=1):
+    def count_first_read(self):
+        self.first_reads += 1
+
+    def register(self, name="n1", port=1, facts=None):
         """Starts the registration of an instance."""
         registered = registration.Registration(
             name,
@@ -93,6 +97,8 @@
             alone=lambda: self.alone,
             target=lambda: self.target,
             restore_target=self.restored.append,
+            facts=facts,
+            on_first_read=self.count_first_read,
         )
         registered.start()
         return registered
@@ -229,7 +235,7 @@
     def test_target_is_restored(self, _name, stopped):
         registered = self.register()
         self.target = {"id": "t1"}
-        registered.target_changed()
+        registered.content_changed()
         self.run_for(1)
         if stopped:
             registered.stop()
@@ -240,7 +246,7 @@
         registered = self.register()
         for target in ({"id": "t1"}, {}):
             self.target = target
-            registered.target_changed()
+            registered.content_changed()
             self.run_for(1)
         self.register()
         self.assertEqual(self.restored, [{}])
@@ -249,7 +255,7 @@
         self.target = {"id": "t1"}
         registered = self.register()
         calls = len(self.store.calls)
-        registered.target_changed()
+        registered.content_changed()
         self.run_for(1)
         self.assertEqual(len(self.store.calls), calls)
 
@@ -259,3 +265,55 @@
             self.store.entries[key] = ports.Versioned(value, 1)
             self.register()
         self.assertEqual(self.restored, [{}, {}, {}])
+
+    @parameterized.expand([("own", "n1", True), ("another", "n2", False)])
+    def test_facts_reach_the_next_process(self, _name, id, own):
+        # Guards against knowledge that ends with the process that has it.
+        facts = handover.Handover()
+        self.register(facts=facts)
+        facts.add("t", b"s", b"p", own=True)
+        self.run_for(1)
+        new, learned = handover.Handover(), []
+        new.on_fact("t", lambda payload, age: learned.append(payload))
+        self.register(id, 2, facts=new)
+        self.assertEqual(learned, [b"p"])
+        self.assertEqual(len(new.for_store()), int(own))
+
+    def test_written_at_once_when_waited_for(self):
+        # Guards against an acknowledgement that a kill makes untrue.
+        facts = handover.Handover()
+        registered = self.register(facts=facts)
+        facts.add("t", b"s", b"p", own=True)
+        written = []
+        registered.when_written().addCallback(written.append)
+        self.clock.advance(0)
+        self.assertEqual(written, [None])
+        entry = self.store.entries[f"{registration.PREFIX}n1"]
+        self.assertIn(b'"payload": "cA=="', entry.value)
+        registered.when_written().addCallback(written.append)
+        self.assertEqual(len(written), 2)
+
+    def test_not_written_while_the_store_is_away(self):
+        facts = handover.Handover()
+        registered = self.register(facts=facts)
+        self.store.unavailable = True
+        facts.add("t", b"s", b"p", own=True)
+        written, ended = registered.when_written(), []
+        written.addTimeout(1.0, self.clock, lambda *_: "timeout")
+        written.addCallback(ended.append)
+        self.run_for(2)
+        self.assertEqual(ended, ["timeout"])
+        self.store.unavailable = False
+        self.run_for(5)
+        entry = self.store.entries[f"{registration.PREFIX}n1"]
+        self.assertIn(b'"payload": "cA=="', entry.value)
+
+    @parameterized.expand([("store_answers", False), ("store_is_away", True)])
+    def test_end_of_the_first_read_is_reported_once(self, _name, away):
+        self.store.unavailable = away
+        self.register()
+        self.run_for(1)
+        self.assertEqual(self.first_reads, 1)
+        self.store.unavailable = False
+        self.run_for(10)
+        self.assertEqual(self.first_reads, 1)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 
 import klein
@@ -148,6 +149,9 @@
         self.factory.seen.append((lines[0], lowered))
         if self.factory.hang:
             return
+        if self.factory.crashes(lines[0]):
+            self.transport.abortConnection()
+            return
         request_id = lowered.get("cicadafront-request-id", "")
         self.transport.write(
             f"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
@@ -162,6 +166,8 @@
     Attributes:
         seen: Request line and headers of each request.
         hang: Whether requests get no response.
+        crashes: Returns whether a request line makes the target crash; stops
+            listening if so.
     """
 
     noisy = False
@@ -169,6 +175,7 @@
     def __init__(self) -> None:
         self.seen: list[tuple[str, dict[str, str]]] = []
         self.hang = False
+        self.crashes: Callable[[str], bool] = lambda line: False
 
     def buildProtocol(self, addr: Any) -> TargetStandIn:  # noqa: N802
         made = TargetStandIn()
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -44,10 +44,14 @@
 class Instance:
     """A daemon with its local target."""
 
-    def __init__(self, reactor, name, store_port):
+    def __init__(self, reactor, name, store_port, before=None):
         self.reactor = reactor
-        self.target = standin.TargetFactory()
-        self.listening = reactor.listenTCP(0, self.target, interface=HOST)
+        if before is None:
+            self.target = standin.TargetFactory()
+            self.listening = reactor.listenTCP(0, self.target, interface=HOST)
+        else:
+            # The target runs on while its instance is restarted.
+            self.target, self.listening = before.target, before.listening
         names = ("edge", "peer", "heartbeats", "readiness", "metrics")
         self.ports = dict(zip(names, free_ports(len(names)), strict=True))
         addresses = {key: (HOST, port) for key, port in self.ports.items()}
@@ -64,7 +68,28 @@
         self.daemon = root.Daemon(reactor, built.options, built.build)
         built.is_down = self.daemon.calls.is_down
         self.built = built
-        self.number = 0
+        self.number = before.number if before else 0
+
+    def deregister(self):
+        """Deregisters the target."""
+        return self.call(
+            "heartbeats",
+            f"/-/instances/t-{self.settings.instance}/deregister",
+            method="POST",
+            data=b'{"born": 1}',
+        )
+
+    async def kill(self):
+        """Ends the daemon without a word to the others or to the store."""
+        self.built.gossip.depart = lambda now: []
+        self.built.registration.stop = lambda: None
+        self.daemon.calls.close()
+        await self.daemon.tree.stop()
+
+    async def ready(self):
+        """Returns whether the instance is ready for callers."""
+        status, _ = await self.call("readiness", "/-/ready")
+        return status == 200
 
     def send_heartbeat(self, state="ready", service="reads", id="", born=1):
         """Sends a heartbeat, of the target unless it names another id."""
@@ -290,10 +315,7 @@
         async def restart():
             port = self.port.getHost().port
             for old in self.instances:
-                old.built.gossip.depart = lambda now: []
-                old.built.registration.stop = lambda: None
-                old.daemon.calls.close()
-                await old.daemon.tree.stop()
+                await old.kill()
                 await old.listening.stopListening()
             self.instances = [
                 Instance(self.reactor, name, port) for name in ("n1", "n2")
@@ -312,6 +334,60 @@
 
         self.assertEqual(self.run_test(restart()), [200, 200])
 
+    async def restart(self, old, *, planned):
+        """Restarts an instance beside its target; waits until it is ready."""
+        await (old.daemon.stop() if planned else old.kill())
+        port = self.port.getHost().port
+        new = Instance(self.reactor, old.settings.instance, port, before=old)
+        self.instances[self.instances.index(old)] = new
+        self.one, self.two = self.instances
+        await new.daemon.start()
+        for _ in range(int(WAIT_TIMEOUT_SECONDS / 0.05)):
+            if await new.ready():
+                return new
+            await task.deferLater(self.reactor, 0.05)
+        raise AssertionError("the instance does not become ready")
+
+    @parameterized.expand(
+        [
+            ("deregistered_killed", "deregister", False, False),
+            ("deregistered_stopped", "deregister", True, False),
+            ("draining_killed", "draining", False, False),
+            ("store_away_as_it_leaves", "deregister", False, True),
+        ]
+    )
+    def test_target_that_left_is_not_used_after_a_restart(
+        self, _name, how, planned, store_away
+    ):
+        # Guards against a late heartbeat that brings the target back at a
+        # process that was started after the target had left.
+        async def leave():
+            self.store.unavailable = store_away
+            if how == "deregister":
+                status, _ = await self.one.deregister()
+            else:
+                status, _ = await self.one.send_heartbeat("draining")
+            self.assertEqual(status, 200)
+            # No write of the entry can follow the acknowledgement.
+            self.one.built.registration.stop()
+            if store_away:
+                # The broadcast reaches the other instance.
+                await task.deferLater(self.reactor, 0.5)
+                self.store.unavailable = False
+            new = await self.restart(self.one, planned=planned)
+            self.one.target.seen.clear()
+            status, _ = await new.send_heartbeat()
+            self.assertEqual(status, 200)
+            await task.deferLater(self.reactor, 1.0)
+            for number in range(10):
+                instance = self.instances[number % 2]
+                answer = await self.send_request(instance)
+                self.assertEqual(answer, (200, b"ok"))
+
+        self.run_test(leave())
+        self.assertEqual(self.one.target.seen, [])
+        self.assertNotEqual(self.two.target.seen, [])
+
     def test_planned_stop(self):
         async def stop():
             ready = await self.one.call("readiness", "/-/ready")
