Hand requests that crash targets over to new processes

Cause: the crashes are kept in memory and reach other instances by a broadcast only, which a process that starts later does not get. The agents that still know do not help, since whether a request is refused was asked at the entry only, although `suspects.py` says that agents repeat the decision.

Change: each crash is a fact of `membership.handover`, so that a new process learns it from the entries in the store and from the peer that it joins by, before it is ready. The facts bear the time of the crash, so that restarts do not extend a refusal; a cleared request takes its facts back. Agents refuse what is condemned, when it arrives and when its turn comes, in both deployments.

--- a/src/cicadafront/daemon/assembly.py
+++ b/src/cicadafront/daemon/assembly.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 from twisted.web import resource, server
 
-from cicadafront import loops, model, ports, prober, settings
+from cicadafront import errors, loops, model, ports, prober, settings
 from cicadafront.agent import queue
 from cicadafront.agent import targets as agent_targets
 from cicadafront.config import current, sync
@@ -29,6 +29,7 @@
     announce,
     announce_http,
     gossip,
+    handover,
     records,
     service,
 )
@@ -159,8 +160,14 @@
             own_record, self.rng, now, instance_settings.seeds
         )
         self.registry = announce.TargetRegistry(self.gossip, now)
+        self.facts = handover.Handover()
         self.membership = service.MembershipService(
-            self.reactor, self.gossip, self.calls, self.rng, self.registry
+            self.reactor,
+            self.gossip,
+            self.calls,
+            self.rng,
+            self.registry,
+            self.facts,
         )
         self.directory = self.membership.directory
         self.subset = subset_view.SubsetView(
@@ -211,6 +218,7 @@
             self.directory,
             self.membership.broadcaster,
             self._refuses_connections,
+            self.facts,
         )
         self.health = health_service.HealthService(
             self.settings.instance,
@@ -233,7 +241,9 @@
             configuration,
             self.gossip.reachable,
         )
-        self.slots = slots.FairSlots(self.reactor, self._must_run_alone)
+        self.slots = slots.FairSlots(
+            self.reactor, self._must_run_alone, self._crash_refusal
+        )
         self.paths = paths.Paths(self.rng)
         self.picker = picker.Picker(
             self.rng,
@@ -249,6 +259,9 @@
     def _must_run_alone(self, entry: queue.Entry) -> bool:
         return self.crashes.must_run_alone(entry.account, entry.fingerprint)
 
+    def _crash_refusal(self, entry: queue.Entry) -> errors.RequestError | None:
+        return self.crashes.refusal(entry.account, entry.fingerprint)
+
     def _abandon(self, target: str) -> None:
         self.abandon(target)
 
--- a/src/cicadafront/health/crashes.py
+++ b/src/cicadafront/health/crashes.py
@@ -10,6 +10,7 @@
 from cicadafront import errors, model, ports
 from cicadafront.agent import observer
 from cicadafront.health import suspects
+from cicadafront.membership import handover
 
 TOPIC = "suspects"
 # Failures that a crash of the target's process causes.
@@ -33,6 +34,7 @@
         directory: Known targets.
         broadcaster: Broadcasts crash events to all instances.
         refused: Returns whether a local target refuses connections.
+        facts: Hands the crashes to new processes.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         directory: ports.Directory,
         broadcaster: ports.Broadcaster,
         refused: Callable[[str], "defer.Deferred[bool]"],
+        facts: handover.Handover | None = None,
     ):
         self.suspects = suspects.Suspects()
         self._clock = clock
@@ -49,6 +52,8 @@
         self._refused = refused
         self._running: dict[str, set[RunningRequest]] = {}
         self._checking: set[str] = set()
+        self._facts = facts or handover.Handover()
+        self._facts.on_fact(TOPIC, self._on_fact)
         broadcaster.on_broadcast(TOPIC, self._on_event)
 
     # Interface for the agent.
@@ -114,8 +119,24 @@
             )
 
     def _publish(self, event: suspects.Event) -> None:
+        payload = suspects.encode(event)
+        self._learn(event, payload, own=True)
+        self._broadcaster.broadcast(TOPIC, payload)
+
+    def _learn(
+        self, event: suspects.Event, payload: bytes, *, own: bool
+    ) -> None:
         self.suspects.learn(self._clock.seconds(), event)
-        self._broadcaster.broadcast(TOPIC, suspects.encode(event))
+        subject = event.fingerprint + event.account.encode()
+        match event:
+            case suspects.Crash():
+                self._facts.add(TOPIC, subject, payload, own=own)
+            case suspects.Cleared():
+                self._facts.discard(TOPIC, subject)
+
+    def _on_fact(self, payload: bytes, age: float) -> None:
+        event = suspects.decode(payload)
+        self.suspects.learn(self._clock.seconds() - age, event)
 
     def _on_event(self, payload: bytes) -> None:
         try:
@@ -127,13 +148,22 @@
                 reason=str(error),
             )
             return
-        self.suspects.learn(self._clock.seconds(), event)
+        self._learn(event, payload, own=False)
 
     def must_run_alone(self, account: str, fingerprint: bytes) -> bool:
         """Returns whether a request may run only on an idle target."""
         decision = self._decide(account, fingerprint, ["any"])
         return not isinstance(decision, suspects.RunNormally)
 
+    def refusal(
+        self, account: str, fingerprint: bytes
+    ) -> errors.RequestError | None:
+        """Returns why a request is refused, or None if it may run."""
+        decision = self._decide(account, fingerprint, ["any"])
+        if isinstance(decision, suspects.Refuse):
+            return self._refusal(decision)
+        return None
+
     # Interface for the entry.
 
     def check(self, account: str, fingerprint: bytes) -> None:
@@ -142,9 +172,9 @@
         Raises:
             RequestCrashesTargetsError: The request is refused.
         """
-        decision = self._decide(account, fingerprint, ["any"])
-        if isinstance(decision, suspects.Refuse):
-            raise self._refusal(decision)
+        refusal = self.refusal(account, fingerprint)
+        if refusal is not None:
+            raise refusal
 
     def isolated_target(
         self, account: str, fingerprint: bytes, service: str
--- a/src/cicadafront/health/suspects.py
+++ b/src/cicadafront/health/suspects.py
@@ -177,11 +177,14 @@
             suspect = self._add(now, key)
         if len(suspect.crashes) < MAX_EVENTS_PER_SUSPECT:
             suspect.crashes[crash.target] = crash
-        suspect.expires = now + SUSPECT_SECONDS
+        # Events may be learned again, and late.
+        suspect.expires = max(suspect.expires, now + SUSPECT_SECONDS)
         if self._should_refuse(list(suspect.crashes.values())):
-            suspect.refused_until = now + REFUSE_SECONDS
+            suspect.refused_until = max(
+                suspect.refused_until, now + REFUSE_SECONDS
+            )
             # Remains a suspect after the refusal ends, so that it runs alone.
-            suspect.expires = now + REFUSE_SECONDS + SUSPECT_SECONDS
+            suspect.expires = suspect.refused_until + SUSPECT_SECONDS
 
     def _should_refuse(self, crashes: list[Crash]) -> bool:
         if len(crashes) < 2:
--- a/src/cicadafront/routing/gate.py
+++ b/src/cicadafront/routing/gate.py
@@ -261,6 +261,9 @@
         self, now: float, local: _LocalTarget, entry: queue.Entry
     ) -> errors.RequestError | None:
         """Returns why a request is refused, or None if it may start or wait."""
+        refusal = self._crash_refusal(entry)
+        if refusal is not None:
+            return refusal
         if entry.repeated and not self._may_repeat():
             return _call_budget_used(entry)
         if self._alone(entry):
@@ -284,6 +287,13 @@
             return _busy(entry, self._drain_seconds(local))
         return None
 
+    def _crash_refusal(self, entry: queue.Entry) -> errors.RequestError | None:
+        """Returns why a request that crashes targets is refused.
+
+        The instance that sent it here may not know of the crashes yet.
+        """
+        return self._crashes.refusal(entry.account, entry.fingerprint)
+
     def _exceeds_unproven_limit(
         self, local: _LocalTarget, entry: queue.Entry
     ) -> bool:
@@ -377,6 +387,11 @@
             if len(local.holders) >= local.slots:
                 return
             first = min(local.waiting, key=_urgency)
+            refusal = self._crash_refusal(first.entry)
+            if refusal is not None:
+                local.waiting.remove(first)
+                first.reject(refusal)
+                continue
             alone = self._alone(first.entry)
             if alone and local.holders:
                 return
--- a/src/cicadafront/routing/slots.py
+++ b/src/cicadafront/routing/slots.py
@@ -46,11 +46,20 @@
     Args:
         clock: Source of time in seconds.
         alone: Returns whether a request must run alone on its target.
+        refusal: Returns why a request must not run at all, or None.
     """
 
-    def __init__(self, clock: Any, alone: Callable[[queue.Entry], bool]):
+    def __init__(
+        self,
+        clock: Any,
+        alone: Callable[[queue.Entry], bool],
+        refusal: Callable[
+            [queue.Entry], errors.RequestError | None
+        ] = lambda entry: None,
+    ):
         self._clock = clock
         self._alone = alone
+        self._refusal = refusal
         self._targets: dict[str, _Target] = {}
         self._submissions: dict[queue.Entry, _Submission] = {}
         self._by_fair: dict[fairqueue.Entry, queue.Entry] = {}
@@ -59,6 +68,10 @@
         self, entry: queue.Entry, start: Callable[[], None], reject: Any
     ) -> None:
         """Requests a slot; either callback may run before this returns."""
+        refusal = self._refusal(entry)
+        if refusal is not None:
+            reject(refusal)
+            return
         now = self._clock.seconds()
         target = self._target(entry, now)
         fair = fairqueue.Entry(entry.account, entry.deadline, entry.weight)
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -215,6 +215,7 @@
             self.directory,
             self.membership.broadcaster,
             self._probe_target,
+            self.facts,
         )
         self.downstream = downstream.DownstreamRequests()
         self.gate = gate.Gate(
--- a/tests/health/test_suspects.py
+++ b/tests/health/test_suspects.py
@@ -1,12 +1,16 @@
 """Tests of requests that crash their targets."""
 
+import json
 import random
 import unittest
 
 from parameterized import parameterized
+from twisted.internet import defer, task
 
 from bench import loop
-from cicadafront.health import suspects
+from cicadafront.agent import observer
+from cicadafront.health import crashes, suspects
+from cicadafront.membership import handover
 
 KILLER = b"k" * 32
 OTHER = b"o" * 32
@@ -202,3 +206,110 @@
     def test_malformed_bytes_are_rejected(self, data):
         with self.assertRaises(ValueError):
             suspects.decode(data)
+
+
+class _Broadcaster:
+    """Broadcaster that sends nothing."""
+
+    def broadcast(self, topic, payload):
+        pass
+
+    def on_broadcast(self, topic, handler):
+        pass
+
+
+class _Process:
+    """The crash tracker of one process."""
+
+    def __init__(self, started):
+        self.clock = task.Clock()
+        self.clock.advance(started)
+        self.unix_offset = 1_800_000_000 - started
+        self.facts = handover.Handover(self.unix_time)
+        self.tracker = crashes.CrashTracker(
+            self.clock,
+            None,
+            _Broadcaster(),
+            lambda target: defer.succeed(True),
+            self.facts,
+        )
+
+    def unix_time(self):
+        return self.unix_offset + self.clock.seconds()
+
+    def crash(self, target):
+        """Lets the request crash a local target."""
+        running = crashes.RunningRequest(target, "amani", KILLER)
+        self.tracker.started(running)
+        self.tracker.finished(running, observer.Failed("closed"))
+
+    def refuses(self):
+        """Returns whether the process refuses the request."""
+        return self.tracker.refusal("amani", KILLER) is not None
+
+    def entry(self):
+        """Returns the facts in its entry of the store."""
+        return json.loads(json.dumps({"facts": self.facts.for_store()}))
+
+
+class RestartTest(unittest.TestCase):
+    """Guards against a request that crashes targets again after a restart.
+
+    Each process that has forgotten the crashes sends it to two more targets.
+    """
+
+    def setUp(self):
+        self.old = _Process(started=50_000.0)
+        self.old.crash("t1")
+        self.old.crash("t2")
+        self.assertTrue(self.old.refuses())
+        # The steady clock of each process has its own origin.
+        self.new = _Process(started=3.0)
+
+    def test_new_process_learns_from_the_entries(self):
+        self.new.facts.learn(self.old.entry(), own=True)
+        self.assertTrue(self.new.refuses())
+
+    def test_new_process_learns_from_a_peer(self):
+        self.new.facts.learn_reply(self.old.facts.for_peer())
+        self.assertTrue(self.new.refuses())
+
+    def test_all_processes_are_replaced_one_after_the_other(self):
+        process = self.old
+        for _ in range(6):
+            new = _Process(started=3.0)
+            new.facts.learn_reply(process.facts.for_peer())
+            process = new
+        self.assertTrue(process.refuses())
+
+    def test_one_crash_is_remembered_as_well(self):
+        old = _Process(started=50_000.0)
+        old.crash("t1")
+        self.new.facts.learn(old.entry(), own=False)
+        self.assertFalse(self.new.refuses())
+        self.new.crash("t2")
+        self.assertTrue(self.new.refuses())
+
+    def test_refusal_is_not_extended(self):
+        self.old.clock.advance(suspects.REFUSE_SECONDS - 10)
+        self.new.unix_offset += suspects.REFUSE_SECONDS - 10
+        self.new.facts.learn(self.old.entry(), own=True)
+        self.assertTrue(self.new.refuses())
+        self.new.clock.advance(11)
+        self.assertFalse(self.new.refuses())
+
+    def test_fact_that_is_learned_twice_changes_nothing(self):
+        entry = self.old.entry()
+        self.new.facts.learn(entry, own=True)
+        self.new.unix_offset += 100
+        self.new.facts.learn(entry, own=False)
+        self.new.clock.advance(suspects.REFUSE_SECONDS - 1)
+        self.assertTrue(self.new.refuses())
+
+    def test_cleared_request_is_not_handed_over(self):
+        old = _Process(started=50_000.0)
+        old.crash("t1")
+        running = crashes.RunningRequest("t2", "amani", KILLER)
+        old.tracker.started(running)
+        old.tracker.finished(running, observer.Completed(200, 0.1))
+        self.assertEqual(old.entry(), {"facts": []})
--- a/tests/routing/test_gate.py
+++ b/tests/routing/test_gate.py
@@ -9,7 +9,12 @@
 
 from cicadafront import model
 from cicadafront.agent import observer, queue
-from cicadafront.health import crashes, downstream, target_breaker
+from cicadafront.health import (
+    crashes,
+    downstream,
+    suspects,
+    target_breaker,
+)
 from cicadafront.peer import exchange
 from cicadafront.routing import gate
 
@@ -90,19 +95,25 @@
     def __init__(self, alone=lambda entry: False, may_repeat=lambda: True):
         self.clock = task.Clock()
         self.shed = []
-        crashed = crashes.CrashTracker(
+        self.crashes = crashes.CrashTracker(
             self.clock, None, Broadcaster(), lambda target: defer.succeed(False)
         )
         self.downstream = downstream.DownstreamRequests()
         self.gate = gate.Gate(
             self.clock,
-            crashed,
+            self.crashes,
             alone,
             shed=lambda *what: self.shed.append(what),
             may_repeat=may_repeat,
             downstream_requests=self.downstream,
         )
 
+    def condemn(self, fingerprint):
+        """Makes it known that a request has crashed two targets."""
+        for target in ("t8", "t9"):
+            event = suspects.Crash(fingerprint, "a", target, True)
+            self.crashes.suspects.learn(self.clock.seconds(), event)
+
     def work(self, **fields):
         """Submits a request."""
         return SubmittedRequest(self, **fields)
@@ -405,3 +416,32 @@
         for each in repeated:
             SubmittedRequest(simulation, repeated=each)
         self.assertEqual(simulation.gate.repeated_share(), share)
+
+
+class CrashTest(unittest.TestCase):
+    """Guards against a request that crashes targets and reaches one more.
+
+    The entry that sends it may not know of the crashes: the process may have
+    just started, or the broadcast may be on its way.
+    """
+
+    def setUp(self):
+        self.simulation = Simulation()
+
+    def work(self, fingerprint=b"f" * 32):
+        return self.simulation.work(
+            account="a", fingerprint=fingerprint, insist=PLACE
+        )
+
+    def test_condemned_request_is_refused(self):
+        self.simulation.condemn(b"f" * 32)
+        self.assertEqual(self.work().refusal, "request_crashes_targets")
+        self.assertTrue(self.work(b"g" * 32).started)
+
+    def test_request_that_waits_is_refused_when_it_is_condemned(self):
+        running = [self.work(b"g" * 32) for _ in range(2)]
+        waiting = [self.work(), self.work(b"h" * 32)]
+        self.simulation.condemn(b"f" * 32)
+        running[0].answer(200)
+        self.assertEqual(waiting[0].refusal, "request_crashes_targets")
+        self.assertTrue(waiting[1].started)
--- a/tests/routing/test_slots.py
+++ b/tests/routing/test_slots.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import task
 
+from cicadafront import errors
 from cicadafront.agent import queue
 from cicadafront.peer import exchange
 from cicadafront.routing import slots
@@ -51,6 +52,17 @@
         self.assertEqual(self.started, ["a", "b", "suspect", "c"])
         self.slots.remove(late)
 
+    def test_refused_request_does_not_wait(self):
+        # Guards against a request that is known to crash targets and reaches
+        # one more by an entry that does not know it yet.
+        error = errors.RequestCrashesTargetsError("Crashed two targets.")
+        self.slots = slots.FairSlots(
+            self.clock, lambda entry: True, lambda entry: error
+        )
+        self.submit("a", b"suspect")
+        self.assertEqual(self.started, [])
+        self.assertEqual(self.refused, [("a", "request_crashes_targets")])
+
     def test_expired_suspect_is_rejected(self):
         running = self.submit("a")
         self.submit("suspect", b"suspect", deadline=1.0)
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -1,5 +1,6 @@
 """Integration tests of two sidecar instances on loopback ports."""
 
+import functools
 import json
 import socket
 import unittest
@@ -388,6 +389,43 @@
         self.assertEqual(self.one.target.seen, [])
         self.assertNotEqual(self.two.target.seen, [])
 
+    @parameterized.expand([("killed", False), ("stopped_as_planned", True)])
+    def test_request_that_crashes_targets_after_restarts(self, _name, planned):
+        # Guards against processes that forget such a request when they are
+        # restarted and send it to two more targets.
+        crashed = []
+
+        def crash(instance, line):
+            if "poison" in line:
+                crashed.append(instance)
+                instance.listening.stopListening()
+            return "poison" in line
+
+        async def send(instance):
+            answer = await self.send_request(instance, "/a/poison")
+            # The targets are back after a second.
+            await task.deferLater(self.reactor, 1.0)
+            for each in self.instances:
+                if not each.listening.connected:
+                    each.listening.startListening()
+            return answer[0]
+
+        async def crash_and_restart():
+            for each in self.instances:
+                each.target.crashes = functools.partial(crash, each)
+            for _ in range(3):
+                await send(self.one)
+            self.assertEqual(len(crashed), 2)
+            answers = []
+            for old in list(self.instances):
+                new = await self.restart(old, planned=planned)
+                await new.send_heartbeat()
+                answers += [await send(new), await send(new)]
+            return answers
+
+        self.assertEqual(self.run_test(crash_and_restart()), [503] * 4)
+        self.assertEqual(len(crashed), 2)
+
     def test_planned_stop(self):
         async def stop():
             ready = await self.one.call("readiness", "/-/ready")
