Answer a request whose handling raises an exception

A defect that one heartbeat triggers so cost every caller of the instance its answer, and since nothing was sent back, a caller could not tell it from a crash.

Change: the server for callers answers with 500, `executed` unknown, counts `handlers_failed`, logs the end of the traceback, and serves the next request of the connection; after the head of a response it aborts the connection, so that nothing looks complete. An exchange that could not start is no longer waited for during a planned stop and keeps no timer.

The five cases of tests.edge.test_server.HandlerFailureTest ended with the exception before the change; they pass now.

--- a/src/cicadafront/edge/forward.py
+++ b/src/cicadafront/edge/forward.py
@@ -44,7 +44,12 @@
         """Starts an exchange; see `caller.Handler.begin`."""
         started = Exchange(self._deps, caller, self.running.discard)
         self.running.add(started)
-        started.start(head, token)
+        try:
+            started.start(head, token)
+        except Exception:
+            # The server answers. A planned stop must not wait for the exchange.
+            started.abandon()
+            raise
         return started
 
     def check_keys(self) -> None:
@@ -123,6 +128,13 @@
         admitted.addCallback(self._admitted)
         admitted.addErrback(self._preparation_failed)
 
+    def abandon(self) -> None:
+        """Ends an exchange that could not start, without an answer."""
+        self._phase = _Phase.DONE
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._on_done(self)
+
     def _track_downstream(self) -> None:
         """Tracks a request that the local target may have sent.
 
--- a/src/cicadafront/edge/server.py
+++ b/src/cicadafront/edge/server.py
@@ -2,6 +2,7 @@
 
 import collections
 import http.client
+import traceback
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +15,7 @@
 from cicadafront import dialect, errors, headers, model, tcp
 from cicadafront.edge import caller, caller_response, framing, problem
 from cicadafront.peer import exchange, flow
+from cicadafront.telemetry import logs
 
 HEAD_SECONDS = 10.0
 IDLE_SECONDS = 60.0
@@ -26,6 +28,8 @@
 # Bytes of pipelined requests that are read before reading is paused.
 MAX_PIPELINED_BYTES = 64 * 1024
 
+# The end of a traceback names the error.
+_MAX_TRACEBACK_CHARS = 2000
 # Blank lines before a request are ignored (RFC 9112, section 2.2).
 _BLANK = b"\r\n"
 _CLOSE = (b"Connection", b"close")
@@ -34,6 +38,8 @@
     for status, reason in http.client.responses.items()
 }
 
+_log = logs.Log("edge")
+
 
 @attrs.define
 class Site:
@@ -181,9 +187,32 @@
                 self._handle(event)
         except h11.RemoteProtocolError as error:
             self._refuse_malformed(error)
+        except Exception:  # Other requests must not suffer from a defect.
+            self._handler_failed()
         finally:
             self._processing = False
 
+    def _handler_failed(self) -> None:
+        """Answers a request whose handler raised an unexpected exception."""
+        self._site.counts["handlers_failed"] += 1
+        _log.error(
+            "a request ended with an unexpected exception.",
+            traceback=traceback.format_exc()[-_MAX_TRACEBACK_CHARS:],
+        )
+        head_sent = self._response is not None and self._response.head_sent
+        self._cancel()
+        if head_sent or self._closing:
+            self.abort()
+            return
+        self.send_error(
+            errors.RequestError(
+                "Internal error while handling the request; report the error "
+                "in the log of this instance.",
+                executed=errors.Executed.UNKNOWN,
+                code=errors.CicadafrontError.code,
+            )
+        )
+
     def _is_last_request(self) -> bool:
         return self._http.their_state is h11.MUST_CLOSE
 
--- a/tests/edge/test_server.py
+++ b/tests/edge/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP/1.1 server for callers."""
 
 import unittest
+import unittest.mock
 
 import hypothesis
 from hypothesis import strategies
@@ -9,7 +10,7 @@
 from twisted.python import failure
 
 from cicadafront import errors, model
-from cicadafront.edge import server
+from cicadafront.edge import forward, resolved_request, server
 from cicadafront.peer import exchange
 from tests.support.edge import GET, KEYED, Edge, SocketTransport, problem
 
@@ -59,6 +60,50 @@
         self.assertFalse(edge.transport.half_closed)
 
 
+POST = b"POST /open/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"
+
+
+class HandlerFailureTest(unittest.TestCase):
+    """Guards against callers that get no answer because of a defect.
+
+    An unexpected exception must not leave the connection of its request.
+    """
+
+    def fail(self, edge, function, pieces):
+        """Lets a function of the forwarding logic raise for some input."""
+        with unittest.mock.patch.object(
+            *function, side_effect=UnicodeEncodeError("utf-8", "", 0, 1, "x")
+        ):
+            return edge.receive(*pieces)
+
+    @parameterized.expand(
+        [
+            ("start", (resolved_request, "resolve"), [GET], 0),
+            ("route", (forward.Exchange, "_track_downstream"), [GET], 0),
+            ("body", (forward.Exchange, "body"), [POST, b"ok"], 0),
+            ("end", (forward.Exchange, "end"), [GET], 0),
+        ]
+    )
+    def test_answer(self, _name, function, pieces, opened):
+        edge = Edge()
+        status, head, fields = problem(self.fail(edge, function, pieces))
+        self.assertEqual((status, fields["executed"]), (500, "unknown"))
+        self.assertEqual(len(edge.opener.opened), opened)
+        self.assertEqual(edge.site.handler.running, set())
+        self.assertEqual(edge.site.counts["handlers_failed"], 1)
+        # The next request of the connection is served.
+        edge.receive(GET)
+        self.assertIn(b" 200 ", edge.answer(body=b"ok"))
+        edge.clock.advance(60)
+        self.assertEqual(edge.transport.take(), b"")
+
+    def test_exchange_that_did_not_start_has_no_deadline(self):
+        edge = Edge()
+        function = (forward.Exchange, "can_finish_in_time")
+        self.fail(edge, function, [GET])
+        self.assertEqual(edge.clock.getDelayedCalls(), [edge.connection._timer])
+
+
 class BlankLineTest(unittest.TestCase):
     """Guards against responses to blank lines between requests.
 
