--- a/src/cicadafront/membership/departures.py
+++ b/src/cicadafront/membership/departures.py
@@ -104,4 +104,10 @@
     def _restore(self, payload: bytes, age: float) -> None:
         instance, target, incarnation = decode(payload)
         if instance == self._instance:
+            _log.info(
+                "a target left before the start.",
+                target=target,
+                incarnation=incarnation,
+                age_seconds=round(age, 1),
+            )
             self._recall(target, incarnation)
--- a/src/cicadafront/membership/handover.py
+++ b/src/cicadafront/membership/handover.py
@@ -160,25 +160,31 @@
         Raises:
             FieldError: The field is not a list of objects.
         """
+        learned: collections.Counter[str] = collections.Counter()
         for item in fields.items(holder, "facts", required=False):
             try:
-                self._learn(_from_json(item, own))
+                fact = _from_json(item, own)
+                learned[fact.topic] += self._learn(fact)
             except (fields.FieldError, ValueError) as error:
                 _log.warning(
                     "a fact that was handed over is invalid.", reason=str(error)
                 )
+        if learned.total():
+            _log.info("facts were handed over.", own=own, topics=dict(learned))
 
-    def _learn(self, fact: Fact) -> None:
+    def _learn(self, fact: Fact) -> bool:
+        """Returns whether the fact is new and still holds."""
         age = max(0.0, self._unix_time() - fact.observed)
         handler = self._handlers.get(fact.topic)
         if age >= LIFETIME_SECONDS or handler is None:
-            return
-        self._keep(fact)
+            return False
+        is_new = self._keep(fact)
         try:
             handler(fact.payload, age)
         except ValueError:
             self.discard(fact.topic, fact.subject)
             raise
+        return is_new
 
     def _keep(self, fact: Fact) -> bool:
         key = fact.topic, fact.payload
