Update two claims at a time after an outage of the store

What was red: tests.limits.test_settle at 20 and 50 writes/s. After an outage of 4 s most of the 256 shards were still unsettled at the bound.

Cause, as KNOWN-RED had it: each owner writes the new lease and the settled outage of all of its shards at once; the renewal of its lease waits behind them for more than 0.5 s, so that the next outage begins.

Change: an owner has at most two updates of claims in flight; takeovers, releases and fences are not limited.

Both cases failed before and pass now. With the change, at load averages of 9 to 13: tests.limits (test_machine, test_faults, test_handover, test_restart, test_release, test_stop, test_recent, test_records), tests.emulator (test_history, test_demo), tests.system (test_departures, test_soak, test_withdrawal) and tests.daemon.test_stop passed, once each.

--- a/src/cicadafront/limits/ownership.py
+++ b/src/cicadafront/limits/ownership.py
@@ -35,6 +35,10 @@
 # Maximum number of claims in one tick, so that a starting fleet does not write
 # all claims at once.
 CLAIMS_PER_TICK = 8
+# Updates of claims that are written at the same time. After an outage each
+# owner has two for each of its shards; at a slow store the renewal of the lease
+# would wait behind them until the next outage begins.
+CONCURRENT_UPDATES = 2
 # Maximum number of releases in one call. With a call every 50 ms, a single
 # owner of all shards needs 1.6 s, within the 8 s that a daemon waits.
 RELEASES_PER_CALL = 8
@@ -65,6 +69,8 @@
         self.stopping = False
         self._acting = True
         self._last_used: Mapping[int, float] = {}
+        # Shards whose claim is being updated, or was since the last check.
+        self._updating: set[int] = set()
         self._rng = rng
         self._live: set[str] = set()
         self._fleet = decisions.Fleet(me, data_centre, unix_offset)
@@ -274,7 +280,7 @@
             requests are in the journal, or None if no outage has to be
             settled now.
         """
-        if not self._store_confirmed(now):
+        if not self._store_confirmed(now) or not self._may_update():
             return None
         return self.shards[number].settle(self.lease.id)
 
@@ -285,6 +291,8 @@
         state = self.shards[number]
         if state.phase is not Phase.HOLDING or state.pending is not None:
             return []
+        if not self._may_update():
+            return []
         assert state.claim is not None
         claim = attrs.evolve(state.claim, settled=outage)
         return self._write(state, Pending(claim, Kind.UPDATE))
@@ -420,6 +428,8 @@
             target = self._fleet.preferred(state.number, [self.me.id])
             if target is not None:
                 return [actions.HandOver(state.number, target.id)]
+        if not self._may_update():
+            return []
         assert state.claim is not None and self.lease.id is not None
         write = decisions.update(now, state, self._fleet, self.lease.id)
         return self._write(state, write) if write is not None else []
@@ -436,8 +446,20 @@
         write = decisions.fence(now, state, self.lease.id)
         return self._write(state, write)
 
+    def _may_update(self) -> bool:
+        """Returns whether the claim of another shard may be updated now."""
+        if len(self._updating) >= CONCURRENT_UPDATES:
+            self._updating = {
+                number
+                for number in self._updating
+                if self.shards[number].pending is not None
+            }
+        return len(self._updating) < CONCURRENT_UPDATES
+
     def _write(self, state: Shard, write: Pending) -> list[actions.Action]:
         write.in_flight = True
+        if write.kind is Kind.UPDATE:
+            self._updating.add(state.number)
         state.pending = write
         if state.changes_deputy:
             # From now on, the write may replace the old deputy at any time.
