--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -5,8 +5,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
-
 from cicadafront import loops, model, ports, prober
 from cicadafront.agent import queue
 from cicadafront.config import current, follow
@@ -27,13 +25,19 @@
     stored_target,
 )
 from cicadafront.peer import exchange
-from cicadafront.platform import documents, heartbeats, store, wire_names
+from cicadafront.platform import documents, store, wire_names
 from cicadafront.routing import (
     gate,
     hedges,
     picker,
 )
-from cicadafront.sidecar import endpoints, readiness, settings, watch
+from cicadafront.sidecar import (
+    endpoints,
+    heartbeats,
+    readiness,
+    settings,
+    watch,
+)
 from cicadafront.telemetry import logs, metrics, tracing
 
 # Time for which new requests are accepted during a planned stop. Callers notice
@@ -82,8 +86,6 @@
 # Time that a started instance needs to discover the others if all of them start
 # at the same time.
 SETTLE_SECONDS = 3.0
-# Targets take an acknowledgement that comes after 1 s for a lost one.
-MAX_ACKNOWLEDGEMENT_SECONDS = 0.5
 
 _log = logs.Log("sidecar")
 
@@ -246,6 +248,9 @@
             on_departed=self.departures.record,
         )
         self.registry.hold()
+        self.heartbeats = heartbeats.HeartbeatEndpoint(
+            self.registry, self.registration, self.reactor
+        )
         self.admission = shares.SharedAdmission(
             self.settings.instance,
             self.reactor,
@@ -405,41 +410,6 @@
         routes = self.held.configuration.routes.values()
         return {service for route in routes for service in route.services()}
 
-    def _heartbeat(
-        self, head: model.RequestHead, body: bytes
-    ) -> "endpoints.Response | defer.Deferred[endpoints.Response]":
-        call = wire_names.target_call(head)
-        if call is None:
-            return endpoints.Response(404)
-        target, deregisters = call
-        now = self.reactor.seconds()
-        if deregisters:
-            self.registry.leaving(now, target, heartbeats.incarnation(body))
-            return self._accepted_when_written()
-        try:
-            heartbeat = heartbeats.decode(target, body)
-        except heartbeats.HeartbeatError as error:
-            _log.info("rejected an invalid heartbeat.", reason=error.message)
-            return endpoints.Response(400)
-        self.registry.heartbeat(now, heartbeat)
-        if heartbeat.state is model.TargetState.LEAVING:
-            return self._accepted_when_written()
-        return endpoints.Response(200, heartbeats.ACCEPTED)
-
-    def _accepted_when_written(self) -> "defer.Deferred[endpoints.Response]":
-        """Acknowledges that a target leaves, once the store has it.
-
-        The next process on this machine is then bound by it as well. If the
-        store does not answer, the other instances alone know of it.
-        """
-        written = self.registration.when_written()
-        written.addTimeout(
-            MAX_ACKNOWLEDGEMENT_SECONDS, self.reactor, lambda *_: None
-        )
-        return written.addCallback(
-            lambda _: endpoints.Response(200, heartbeats.ACCEPTED)
-        )
-
     def _metrics_page(
         self, head: model.RequestHead, body: bytes
     ) -> endpoints.Response:
@@ -501,7 +471,7 @@
                 (
                     "heartbeat listener",
                     sidecar_settings.heartbeats,
-                    self._heartbeat,
+                    self.heartbeats.respond,
                 ),
                 ("readiness listener", sidecar_settings.readiness, self._ready),
                 (
