--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -356,7 +356,7 @@
         self.control = 0
         self.handle: (
             Callable[
-                ["Target", Run, bytes, asyncio.StreamWriter], Awaitable[bool]
+                [Target, Run, bytes, asyncio.StreamWriter], Awaitable[bool]
             ]
             | None
         ) = None
@@ -380,6 +380,9 @@
     ) -> None:
         try:
             while (head := await read_head(reader)) is not None:
+                if await self.refuses_early(head[1], writer):
+                    await read_body(reader, head[1])
+                    continue
                 body = await read_body(reader, head[1])
                 if not await self._run(head[0], head[1], body, writer):
                     break
@@ -391,6 +394,12 @@
         finally:
             writer.close()
 
+    async def refuses_early(
+        self, fields: Headers, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Refuses a request before its body is read, if it is to."""
+        return False
+
     async def _run(
         self,
         line: str,
@@ -541,7 +550,7 @@
         names = ("edge", "ready", "control", "peer", "metrics", "target")
         self.ports = dict(zip(names, ports, strict=False))
         self.store_port = ports[6]
-        self.target = Target(
+        self.target = fleet.target_class(
             fleet.record, f"i-{number:04d}", service, fleet.slots, zone
         )
         self.target.control = self.ports["control"]
@@ -644,6 +653,8 @@
         "quota_slack": 20,
     }
 
+    target_class: type[Target] = Target
+
     def __init__(self, folder: pathlib.Path, slots: int = 3):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(folder / "record.txt")
