--- a/review/standins-2/departure.py
+++ b/review/standins-2/departure.py
@@ -12,7 +12,8 @@
 KEY = "key-of-the-families"
 DRAIN_SECONDS = 2.0
 STABLE_WINDOW_SECONDS = 3.0
-PAYMENTS_PER_SECOND = 20
+CLIENTS_PER_MACHINE = 3
+PAUSE_SECONDS = 0.05
 MACHINES = 4
 
 
@@ -48,7 +49,7 @@
 
     def __init__(self, *args: Any):
         super().__init__(*args)
-        self.work_seconds = 0.2
+        self.work_seconds = 0.25
         self.cut: list[str] = []
         self._working: dict[str, asyncio.StreamWriter] = {}
         self.handle = self._pay
@@ -83,8 +84,8 @@
     def __init__(self, fleet: rig.Fleet):
         self.fleet = fleet
         fleet.target_class = Ledger
-        for number in range(MACHINES):
-            fleet.add("ledger", f"dar-{'abca'[number]}")
+        for _ in range(MACHINES):
+            fleet.add("ledger", "dar-a")
         self.machine = fleet.machines[0]
         self.target: Ledger = self.machine.target
         self.statuses: dict[str, int | str] = {}
@@ -99,7 +100,8 @@
         await self.fleet.start()
         await asyncio.sleep(5.0)
         # The clients of the machine that will be killed stay away.
-        for number, machine in enumerate(self.fleet.machines[1:]):
+        callers = self.fleet.machines[1:] * CLIENTS_PER_MACHINE
+        for number, machine in enumerate(callers):
             work = self._pay(machine, number)
             self._paying.append(self.fleet.spawn(work))
         await asyncio.sleep(1.0)
@@ -124,7 +126,7 @@
             except (OSError, TimeoutError, EOFError) as error:
                 self.statuses[id] = type(error).__name__
             self.fleet.record.write(f"client: {id}: {self.statuses[id]}")
-            await asyncio.sleep(1 / PAYMENTS_PER_SECOND)
+            await asyncio.sleep(PAUSE_SECONDS)
 
     async def deregister(self) -> None:
         """Lets the target send a last heartbeat, and deregister.
