Keep a request body whole until the next attempt has it

Cause: the buffer of the body is discarded as soon as a target has consumed a part and more than 64 KiB have arrived. Whether it still is whole was asked once, when the first attempt failed. The retry then waits for the retry budget or for the grant of the next agent, the rest of the body arrives meanwhile, the consumption of the ended attempt still counts, and the buffer is dropped. The next target gets what came later, and a proper end.

Change: consumption counts only while the attempt that reported it has the body. A buffer that is not whole raises an error instead of returning what is left, and the request ends with 502. What is kept is bounded by 64 KiB and one window, which the next agent accepts.

--- a/src/cicadafront/edge/attempts.py
+++ b/src/cicadafront/edge/attempts.py
@@ -217,7 +217,14 @@
         sink = attempt_.request
         if sink is None:
             return
-        for piece in self._body.chunks():
+        try:
+            pieces = self._body.hand_over()
+        except errors.BodyDiscardedError as error:
+            # A target must not run the request with a part of its body.
+            attempt_.cancel()
+            self._parent.request_failed(error)
+            return
+        for piece in pieces:
             sink.body(piece)
         if self._body.complete and not attempt_.done:
             sink.end()
@@ -442,7 +449,10 @@
         """Retries at another target if allowed, else reports the error."""
         if not self._may_retry(error, self._charges.arrivals):
             self._parent.request_failed(error)
-        elif self._is_free_retry(error):
+            return
+        # The rest of the body may arrive before the next attempt begins.
+        self._body.take_back()
+        if self._is_free_retry(error):
             self._start_retry(error)
         else:
             self._charges.charge(
--- a/src/cicadafront/edge/buffers.py
+++ b/src/cicadafront/edge/buffers.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from cicadafront import headers, model, ports
+from cicadafront import errors, headers, model, ports
 
 # Largest request body, in bytes, that can be sent again after a target may have
 # run the request, and largest response body that is stored for a request with
@@ -16,8 +16,10 @@
     """Buffers the request body while it can still be sent to another target.
 
     A body of up to `MAX_BUFFERED_BYTES` is kept whole. A larger one is kept
-    only until a target has consumed a part of it; flow control limits what is
-    buffered until then to one window.
+    only until the attempt that has it reports that its target consumed a part
+    of it. It is not discarded between two attempts, also if the target of the
+    first one has consumed a part. Flow control limits what is kept to one
+    window and `MAX_BUFFERED_BYTES`.
 
     Attributes:
         size: Bytes that have arrived.
@@ -30,6 +32,8 @@
         self.complete = False
         self.dropped = False
         self._consumed = 0
+        # Whether the attempt that has the body reports consumed bytes.
+        self._in_use = False
         self._chunks: list[bytes] = []
 
     def add(self, data: bytes) -> None:
@@ -40,7 +44,7 @@
             self._trim()
 
     def mark_consumed(self, total: int) -> int:
-        """Records how much of the body a target has consumed.
+        """Records how much of the body the target of an attempt has consumed.
 
         Args:
             total: Bytes that the target has consumed so far.
@@ -50,6 +54,7 @@
         """
         fresh = max(0, total - self._consumed)
         self._consumed += fresh
+        self._in_use = True
         self._trim()
         return fresh
 
@@ -61,16 +66,30 @@
             and self.size <= MAX_BUFFERED_BYTES
         )
 
-    def chunks(self) -> tuple[bytes, ...]:
-        """Returns the buffered chunks."""
+    def hand_over(self) -> tuple[bytes, ...]:
+        """Returns what has arrived of the body, for an attempt that begins.
+
+        Raises:
+            BodyDiscardedError: The body is not complete any more.
+        """
+        if self.dropped:
+            raise errors.BodyDiscardedError(
+                "A part of the body has been discarded; send the request "
+                "again if running it twice does no harm.",
+                executed=errors.Executed.UNKNOWN,
+            )
         return tuple(self._chunks)
 
+    def take_back(self) -> None:
+        """Keeps the body for another attempt, since the last one has ended."""
+        self._in_use = False
+
     def start(self, size: int) -> bytes:
         """Returns at most `size` leading bytes of the body."""
         return b"".join(self._chunks)[:size]
 
     def _trim(self) -> None:
-        if self._consumed and self.size > MAX_BUFFERED_BYTES:
+        if self._in_use and self.size > MAX_BUFFERED_BYTES:
             self.dropped = True
             self._chunks.clear()
 
--- a/src/cicadafront/errors.py
+++ b/src/cicadafront/errors.py
@@ -192,6 +192,13 @@
     status = 502
 
 
+class BodyDiscardedError(RequestError):
+    """The body cannot be sent again: a part of it is not buffered any more."""
+
+    code = "body_discarded"
+    status = 502
+
+
 class RequestCrashesTargetsError(RequestError):
     """The same request crashed targets before."""
 
