Write keys of the store only at the version that is known

A write of its instance's entry had got no answer; it was done seconds later and replaced the later one with the departure.

Cause: entries were written without a condition, so that a write which the store does late takes effect whatever was written since.

Change: the entry and the facts of an instance are written on condition of the version that was last known.

--- a/src/cicadafront/membership/store_key.py
+++ b/src/cicadafront/membership/store_key.py
@@ -6,7 +6,10 @@
 
 
 class StoreKey:
-    """Writes a key, and tracks its version.
+    """Writes a key on condition that it has the version that was last known.
+
+    A write that gets no answer may be done seconds later. As its condition does
+    not hold any more then, it cannot replace a later write.
 
     Args:
         store: The store.
@@ -61,7 +64,7 @@
 
     async def _put(self, make_value: Callable[[], bytes], lease: str) -> None:
         self.version = await self._store.put(
-            self.key, make_value(), lease=lease
+            self.key, make_value(), expected=self.version, lease=lease
         )
 
     async def delete(self) -> None:
