--- a/tests/peer/test_link.py
+++ b/tests/peer/test_link.py
@@ -384,6 +384,20 @@
         pair.pump()
         self.assertEqual(pair.path_reports, [("b", False), ("b", True)])
 
+    @parameterized.expand([("quickly", 0.05), ("slowly", 0.4)])
+    def test_link_lost_while_a_large_frame_arrives(self, _name, pause):
+        document = bytes(400_000)
+        pair = Pair(handlers={"document": lambda caller, body: document})
+        pair.connect()
+        result = pair.client.call("document", b"", 60.0)
+        pair.server.dataReceived(pair.client.transport.take())
+        data = pair.server.transport.take()
+        for start in range(0, len(data), 16_000):
+            pair.client.dataReceived(data[start : start + 16_000])
+            pair.clock.advance(pause)
+        self.assertEqual(result.result, document)
+        self.assertEqual(pair.path_reports, [])
+
     def test_answered_heartbeats_keep_the_link_open(self):
         pair = Pair().connect()
         _, response, _, _ = pair.open()
--- a/tests/platform/virtual_http.py
+++ b/tests/platform/virtual_http.py
@@ -12,7 +12,7 @@
 LATENCY_SECONDS = 0.002
 
 
-class _Request:
+class Request:
     """The part of a Twisted request that the stand-in uses."""
 
     def __init__(self, method, target, body):
@@ -34,6 +34,11 @@
         return defer.Deferred()
 
 
+def respond(standin, request):
+    """Returns a Deferred with the body of the stand-in's response."""
+    return defer.maybeDeferred(standin.call, request)
+
+
 class VirtualHttp:
     """Replaces `http.Client` of one instance.
 
@@ -61,7 +66,7 @@
         self.calls.append((method, path, self._clock.seconds()))
         done = defer.Deferred()
         done.addTimeout(seconds, self._clock, _timed_out)
-        request = _Request(method, path, body)
+        request = Request(method, path, body)
         self._clock.callLater(LATENCY_SECONDS, self._arrive, request, done)
         return done
 
@@ -75,7 +80,7 @@
             request.status = 503
             answer = defer.succeed(b"")
         else:
-            answer = defer.maybeDeferred(self._standin.call, request)
+            answer = respond(self._standin, request)
         answer.addCallback(
             lambda body: self._clock.callLater(
                 LATENCY_SECONDS, self._answer, request, body, done
