Ignore a revision only if its document is invalid

Cause: an instance that called two peers got the same older document from both, since neither had the revision yet of which a broadcast told. The second document was not newer any more; the announced revision was then taken for an invalid one, and the instance asked no peer for it again. A watcher gets it from the store; another instance keeps the old configuration until its next read, 10 s later. Change: only a document that cannot be decoded makes its revision be ignored. Evidence: tests.config.test_follow.FollowTest.test_older_document_hides_a_newer_revision gave [3, 3, 2] before and passes now.

--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -336,10 +336,13 @@
         self, document: bytes, peer: str, peer_revision: int, started_at: float
     ) -> None:
         self._calls_in_flight.pop(peer, None)
-        if self._apply(document, peer):
-            self._schedule_watch_check(started_at)
-        elif document and peer_revision > self._held.revision:
+        if not document:
+            return
+        new = self._decode_document(document, peer)
+        if new is None:
             self.newer_peers.reject(peer_revision)
+        elif self._activate(new, document, peer):
+            self._schedule_watch_check(started_at)
 
     def _on_call_failed(self, reason: failure.Failure, peer: str) -> None:
         self._calls_in_flight.pop(peer, None)
@@ -422,8 +425,12 @@
         if not document:
             return False
         new = self._decode_document(document, source)
-        if new is None:
-            return False
+        return new is not None and self._activate(new, document, source)
+
+    def _activate(
+        self, new: config_model.Configuration, document: bytes, source: str
+    ) -> bool:
+        """Activates a configuration if it is newer; returns whether it was."""
         if new.revision == self._held.revision and document != self._document:
             _log.warning(
                 "ignored different content for the active revision.",
--- a/tests/config/test_follow.py
+++ b/tests/config/test_follow.py
@@ -81,6 +81,8 @@
         self.revision_channels = []
         self.broadcasts = 0
         self.calls = 0
+        # Seconds until a call is answered.
+        self.call_seconds = 0.0
         self.held = [current.CurrentConfiguration() for _ in range(count)]
         self.recovered = []
         self.followers = [self._follower(n) for n in range(count)]
@@ -173,7 +175,14 @@
 
     def call(self, instance, method, body, timeout):
         self.fleet.calls += 1
-        return defer.succeed(self.fleet.handlers[instance](self.here, body))
+        answer = self.fleet.handlers[instance](self.here, body)
+        if not self.fleet.call_seconds:
+            return defer.succeed(answer)
+        done = defer.Deferred()
+        self.fleet.clock.callLater(
+            self.fleet.call_seconds, done.callback, answer
+        )
+        return done
 
 
 class FollowTest(unittest.TestCase):
@@ -240,6 +249,30 @@
         fleet.run(IN_FORCE_SECONDS - 0.5)
         self.assertEqual(fleet.revisions, [2, 2, 2])
 
+    def test_older_document_hides_a_newer_revision(self):
+        fleet = Fleet(3)
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.start()
+        fleet.run(1)
+        fleet.stores[2].waiting.clear()
+        for store in fleet.stores[:2]:
+            store.write(b"2")
+        # Both are called before either has answered, and neither has yet the
+        # revision that the broadcasts tell.
+        fleet.call_seconds = 1.0
+        for _ in range(20):
+            for sender in (b"n0", b"n1"):
+                payload = (3).to_bytes(8, "big") + sender
+                fleet.broadcast_handlers["n2"](payload)
+            fleet.run(0.05)
+        fleet.run(1.0)
+        fleet.call_seconds = 0.0
+        for store in fleet.stores[:2]:
+            store.write(b"3")
+        fleet.run(IN_FORCE_SECONDS)
+        self.assertEqual(fleet.revisions, [3, 3, 3])
+
     def test_unexpected_error_does_not_end_the_watch(self):
         fleet = Fleet(1)
         fleet.stores[0].write(b"1")
