Watch from the known version instead of reading a known configuration again

Cause: an instance that lost the store, or that renewed a watch, read the whole document first; one that does not watch read it every 10 s; and a document from a peer left the version in the store unknown, so that the next watch brought it again. Change: instances tell each other the version of the document in the store, with the era. After an outage a watch of 0.1 s from that version tells whether the store answers and whether there is a newer document. After two that fail the document is read, in case that only watches get no answer. Documents above 16 KiB are not read every 10 s any more; a short watch takes the place of the read.

--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -5,6 +5,10 @@
 datagram carries the revision that its sender runs. An instance with an older
 revision fetches the document from one with a newer revision (`config.fetch`),
 independently of its own watch. `config.catchup` tracks the newer instances.
+
+A document may take seconds on the link of an instance. One that is known is
+therefore not read again: watches continue from its version in the store, which
+instances tell each other with the document.
 """
 
 import random
@@ -66,6 +70,13 @@
 # Interval at which such an instance reads the store nevertheless, in case it
 # answers no watcher. The result may be seconds old.
 STALE_READ_SECONDS = 10.0
+# Larger documents are not read then, but a watch tells of a newer
+# version.
+MAX_STALE_READ_BYTES = 16 * 1024
+# Duration of a watch that tells whether the store answers. After some failures
+# in a row the document is read, in case that only watches get no answer.
+PROBE_SECONDS = 0.1
+MAX_FAILED_PROBES = 2
 # Watchers that a broadcast is taken to stand for. Each instance calls one of
 # them, so that the calls are spread over all watchers.
 ASKED_WATCHERS = 8
@@ -178,6 +189,7 @@
         # force; 0 if it is not known.
         self._version = 0
         self._document_version = 0
+        self._failed_probes = 0
         self._announced_revision = 0
         self._started_at = 0.0
         self._watch_started_at = 0.0
@@ -242,16 +254,29 @@
         now = self._clock.seconds()
         if answered is None or now - answered < STALE_READ_SECONDS:
             return
+        if self._version and len(self._document) > MAX_STALE_READ_BYTES:
+            await self._probe()
+            return
         found = await self._read_stale(self._key)
         self._on_store_answer()
         if found is not None and found.version > self._version:
             self._apply_stored(found)
 
+    async def _probe(self) -> None:
+        """Reads the document if it is newer than the known version."""
+        self._failed_probes += 1
+        found = await self._store.watch(self._key, self._version, PROBE_SECONDS)
+        self._on_store_answer()
+        self._apply_stored(found)
+
     async def _read_and_watch(self) -> float:
-        if not self.connected or not self._held.revision:
+        if not self._version or self._failed_probes >= MAX_FAILED_PROBES:
+            self._failed_probes = 0
             found = await self._store.get(self._key)
             self._on_store_answer()
             self._apply_stored(found)
+        elif not self.connected:
+            await self._probe()
         wait = self._watch_seconds()
         self._watch_started_at = started_at = self._clock.seconds()
         found = await self._store.watch(self._key, self._version, wait)
@@ -303,6 +328,7 @@
     def _on_store_answer(self) -> None:
         now = self._clock.seconds()
         before, self.answered_at = self.answered_at, now
+        self._failed_probes = 0
         if self.connected:
             return
         self.connected = True
@@ -342,6 +368,8 @@
             return
         if not self._activate(new, fetched.document, fetched.source):
             return
+        if fetched.era == self._era() and fetched.version > self._version:
+            self._version = self._document_version = fetched.version
         self._schedule_watch_check()
 
     def _random_peer(self) -> str | None:
