Let no more than 64 KiB of a response of the store queue on a link

Cause: the system lets the store send hundreds of kilobytes ahead of what is read. On a link of 5 Mbit/s they make all other packets of the machine wait for 0.4 s; connections between instances, which may take 0.3 s, failed, and their peers counted as unreachable for a second. The virtual network knows this option of a socket.

--- a/src/cicadafront/platform/http.py
+++ b/src/cicadafront/platform/http.py
@@ -17,6 +17,9 @@
 # Limit of response bodies: twice the size of the largest one. A page of a list
 # holds about 1 MB, or a single value of at most 1 MiB in base64.
 MAX_REPLY_BYTES = 4 * 1024 * 1024
+# Receive buffer of connections for reads. All other packets of the machine wait
+# behind the part of a response that is in the queue of a slow link.
+RECEIVE_BYTES = 64 * 1024
 # Longest pause within a response, and longest time from its head to its end.
 # The largest one takes 2.3 s on an idle link of 5 Mbit/s.
 MAX_PAUSE_SECONDS = 1.0
@@ -100,6 +103,7 @@
             # Writes time out after 1 s, but the connection of a watch may be
             # idle for 30 s.
             tcp.enable_keepalive(conn.transport)
+            tcp.limit_receive_buffer(conn.transport, RECEIVE_BYTES)
         conn.send_head(self._head)
         if self._body:
             conn.send_body(self._body)
--- a/src/cicadafront/tcp.py
+++ b/src/cicadafront/tcp.py
@@ -1,4 +1,4 @@
-"""Helpers for TCP connections: connect, keepalive, peek and flush."""
+"""Helpers for TCP connections: connect, socket options, peek and flush."""
 
 import socket
 from collections.abc import Callable
@@ -76,6 +76,12 @@
         sock.setsockopt(level, option, value)
 
 
+def limit_receive_buffer(transport: Any, count: int) -> None:
+    """Limits the bytes that the other side may send ahead of what is read."""
+    sock = transport.getHandle()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, count)
+
+
 def peek(transport: Any) -> bytes | None:
     """Peeks at the receive buffer of a connection without consuming data.
 
--- a/tests/config/test_narrow.py
+++ b/tests/config/test_narrow.py
@@ -32,10 +32,12 @@
         fleet.run(2.0)
         fleet.document.change_route()
         revision = fleet.write()
+        lost = fleet.count("links_lost")
         fleet.run(IN_FORCE_SECONDS)
         cls.behind = fleet.behind(revision)
         fleet.run(2 * follow.STALE_READ_SECONDS)
         cls.longest_connect = fleet.longest_connect
+        cls.lost = fleet.count("links_lost") - lost
         before = fleet.received()
         fleet.run(2 * follow.STALE_READ_SECONDS)
         received = (fleet.received() - before) / SIZE
@@ -47,6 +49,9 @@
     def test_late_connections_beside_a_large_configuration(self):
         self.assertLess(self.longest_connect, CONNECT_SECONDS)
 
+    def test_lost_links_beside_a_large_configuration(self):
+        self.assertEqual(self.lost, 0)
+
     def test_repeated_transfers_of_an_unchanged_configuration(self):
         self.assertLess(self.idle_rate, IDLE_BYTES_PER_SECOND)
 
--- a/tests/support/narrow.py
+++ b/tests/support/narrow.py
@@ -4,6 +4,8 @@
 in the order of their bytes, as through the queue of a network card.
 """
 
+import socket
+
 from twisted.internet import error, task
 from twisted.python import failure
 
@@ -11,7 +13,7 @@
 
 LATENCY_SECONDS = 0.0005
 # Bytes that are sent at a time, and those of a connection that may be on their
-# way; the latter bounds the queue of a link, like the receive window of TCP.
+# way unless its receiver sets another number, like the receive window of TCP.
 PIECE_BYTES = 8 * 1024
 WINDOW_BYTES = 256 * 1024
 # Bytes of a packet that opens a connection.
@@ -140,7 +142,8 @@
             )
 
     def _send(self):
-        while self._unsent and self._on_the_way < WINDOW_BYTES:
+        window = self.other.getHandle().window
+        while self._unsent and self._on_the_way < window:
             piece = bytes(self._unsent[:PIECE_BYTES])
             del self._unsent[:PIECE_BYTES]
             self._on_the_way += len(piece)
@@ -163,10 +166,19 @@
 
 
 class Socket(agent.Socket):
-    """Socket that accepts all options."""
+    """Socket that accepts all options.
+
+    Attributes:
+        window: Bytes that the other side may send ahead.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.window = WINDOW_BYTES
 
-    def setsockopt(self, *_):
-        pass
+    def setsockopt(self, level, option, value):
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_RCVBUF):
+            self.window = value
 
 
 class Network:
