Fill in the sections of the settings template in the stand-ins of the reviews

Change: both render sections as DEPLOY.md says: one that has a value gives its lines, else none. No case, bound or check is touched. No other reader of the template fills it in: tests.sidecar.test_settings takes the sections out.

--- a/review/standins-2/rig.py
+++ b/review/standins-2/rig.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import random
+import re
 import shutil
 import signal
 import socket
@@ -548,6 +549,25 @@
             writer.close()
 
 
+_SECTION = re.compile(r"\{\{([#^])([a-z_.0-9]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
+
+
+def _with_sections(template: str, values: dict[str, str]) -> str:
+    """Renders the sections of a template as DEPLOY.md says.
+
+    A value of the machine is not a list or table, so that each section has at
+    most one entry.
+    """
+
+    def rendered(match: re.Match[str]) -> str:
+        kind, name, text = match.groups()
+        if kind == "^":
+            return "" if name in values else text
+        return text.replace("{{.}}", values[name]) if name in values else ""
+
+    return _SECTION.sub(rendered, template)
+
+
 class Machine:
     """One machine: a daemon, its settings and the target beside it."""
 
@@ -588,6 +608,7 @@
             values[f"listen.{name}|json"] = address
         values |= {f"bounds.{name}": str(v) for name, v in bounds.items()}
         text = text.replace("{{ip}}:7002", f"{HOST}:{ports['metrics']}")
+        text = _with_sections(text, values)
         for name, value in values.items():
             text = text.replace("{{" + name + "}}", value)
         path = self.fleet.folder / f"{self.name}.toml"
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -36,6 +36,7 @@
 # Exit codes of a script.
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 _PLACEHOLDER = re.compile(r"\{\{([a-z_.0-9]+)(\|json)?\}\}")
+_SECTION = re.compile(r"\{\{([#^])([a-z_.0-9]+)\}\}(.*?)\{\{/\2\}\}", re.DOTALL)
 HOST = "one.example"
 
 
@@ -56,6 +57,39 @@
     return value
 
 
+def _entries(value: Any) -> list[tuple[Any, Any]]:
+    """Returns the keys and entries for which a section is rendered."""
+    match value:
+        case dict():
+            return list(value.items())
+        case list():
+            return list(enumerate(value))
+        case None | False:
+            return []
+    return [("", value)]
+
+
+def _with_sections(template: str, fields: dict[str, Any]) -> str:
+    """Renders the sections of a template as DEPLOY.md says."""
+
+    def rendered(match: re.Match[str]) -> str:
+        kind, name, text = match.groups()
+        try:
+            entries = _entries(_lookup(fields, name))
+        except (KeyError, IndexError):
+            entries = []
+        if kind == "^":
+            return "" if entries else text
+        return "".join(
+            text.replace("{{@}}", str(key))
+            .replace("{{.|json}}", json.dumps(entry))
+            .replace("{{.}}", str(entry))
+            for key, entry in entries
+        )
+
+    return _SECTION.sub(rendered, template)
+
+
 class Node:
     """One machine: a process of the project and the upstream beside it.
 
@@ -118,7 +152,8 @@
 
         template = (ROOT / role["template"]).read_text()
         path = self._fleet.folder / f"{self.name}.yaml"
-        path.write_text(_PLACEHOLDER.sub(filled, template))
+        text = _with_sections(template, fields)
+        path.write_text(_PLACEHOLDER.sub(filled, text))
         command = [
             str(path) if word.endswith("boot.yaml") else word
             for word in role["run"].split()
