Let a coordinator without a configuration refuse calls

Cause: a coordinator that does not know an account grants what is asked, since the caller may have a newer configuration; a process that has just started knows no account at all. Change: without a configuration it fails the call, and the caller turns to the standby.

--- a/bench/rates.py
+++ b/bench/rates.py
@@ -141,6 +141,7 @@
             lambda account, seen: TOLERANCE.limit(account),
             lambda: SIZE,
             self._is_settling,
+            configured=lambda: self.configured,
         )
 
     @property
--- a/src/cicadafront/limits/shares.py
+++ b/src/cicadafront/limits/shares.py
@@ -135,6 +135,7 @@
         settling: Returns whether this instance has started so recently that
             it may know only part of the fleet.
         usable: Returns whether the path to an instance works.
+        configured: Returns whether there is a configuration in force.
     """
 
     def __init__(
@@ -149,6 +150,7 @@
         size: Callable[[], int] = lambda: 1,
         settling: Callable[[], bool] = lambda: False,
         usable: Callable[[str], bool] = lambda instance: True,
+        configured: Callable[[], bool] = lambda: True,
     ):
         self.counts: collections.Counter[str] = collections.Counter()
         self._own_id = own_id
@@ -160,6 +162,7 @@
         self._size = size
         self._settling = settling
         self._usable = usable
+        self._configured = configured
         self._limit_of = limit_of
         self._coordinator = coordinators.Coordinator(limit_of)
         self._credits: dict[str, _Credit] = {}
@@ -449,6 +452,11 @@
     ) -> "bytes | defer.Deferred[bytes]":
         request = _TokenRequest.decode(body)
         account = self._accounts(request.account)
+        if account is None and not self._configured():
+            raise errors.NotReadyError(
+                "This instance has no configuration yet; ask the standby "
+                "coordinator."
+            )
         if account is None or account.rate <= 0:
             # The caller has another revision of the configuration; the limit
             # in its own revision decides.
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -370,6 +370,7 @@
             lambda: len(self.gossip.seeds) + 1,
             self._is_settling,
             lambda id: self._instance_usable(self.reactor.seconds(), id),
+            configured=lambda: bool(self.held.revision),
         )
         self.paths = paths.Paths(self.rng)
         choice = (
--- a/tests/bench/test_rates.py
+++ b/tests/bench/test_rates.py
@@ -27,6 +27,10 @@
         found = [rates.measure(fault, 3.0, seed=2) for _ in range(2)]
         self.assertEqual(*found)
 
+    def test_coordinators_that_start_without_a_configuration(self):
+        found = rates.measure(rates.Kill(1.5, times=8), 7.5, seed=1)
+        self.assertLessEqual(found["window"], 1.0)
+
     @parameterized.expand(
         [
             ("frozen", rates.Freeze(1.0), 1),
