Compare runs of a delta in place, and test peers of an earlier version

Cause: the length of each run was found by an iterator that skips all pieces before it, so that the time grew with the square of the number of changes. Change: places in the lists are compared; comments of the time limits say that they concern the start of a response. The fallback to the call of earlier versions, which had no test, has one.

--- a/src/cicadafront/config/delta.py
+++ b/src/cicadafront/config/delta.py
@@ -7,7 +7,6 @@
 """
 
 import hashlib
-import itertools
 import struct
 import zlib
 from collections.abc import Iterator
@@ -118,14 +117,9 @@
     one: list[bytes], first: int, other: list[bytes], second: int
 ) -> int:
     """Returns how many pieces are the same from two places on."""
+    most = min(len(one) - first, len(other) - second)
     count = 0
-    for here, there in zip(
-        itertools.islice(one, first, None),
-        itertools.islice(other, second, None),
-        strict=False,
-    ):
-        if here != there:
-            break
+    while count < most and one[first + count] == other[second + count]:
         count += 1
     return count
 
--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -70,8 +70,7 @@
 # Interval at which such an instance reads the store nevertheless, in case it
 # answers no watcher. The result may be seconds old.
 STALE_READ_SECONDS = 10.0
-# Larger documents are not read then, but a watch tells of a newer
-# version.
+# A larger document is not read then; a short watch tells of a newer version.
 MAX_STALE_READ_BYTES = 16 * 1024
 # Duration of a watch that tells whether the store answers. After some failures
 # in a row the document is read, in case that only watches get no answer.
--- a/src/cicadafront/platform/http.py
+++ b/src/cicadafront/platform/http.py
@@ -1,4 +1,4 @@
-"""HTTP client for the platform's store, with a timeout for each call."""
+"""HTTP client for the platform's store, with time limits for each call."""
 
 import collections
 from collections.abc import Callable
--- a/src/cicadafront/platform/store.py
+++ b/src/cicadafront/platform/store.py
@@ -15,10 +15,10 @@
 from cicadafront.platform import http
 from cicadafront.telemetry import logs
 
-# Timeout of a call. The store responds within milliseconds, or 50 times as long
-# while it is slow.
+# Time within which the response to a call must begin. The store responds within
+# milliseconds, or 50 times as long while it is slow.
 CALL_SECONDS = 1.0
-# Time allowed for the response to a watch beyond its waiting time: 60 times the
+# The same for the response to a watch, beyond its waiting time: 60 times the
 # usual 4 ms, which covers a slow store, plus the network round trip.
 WATCH_GRACE_SECONDS = 0.4
 # Maximum waiting time of a watch.
--- a/tests/config/test_follow.py
+++ b/tests/config/test_follow.py
@@ -7,8 +7,9 @@
 from twisted.internet import defer, task
 
 from cicadafront import errors, loops, ports
-from cicadafront.config import current, follow
+from cicadafront.config import current, fetch, follow
 from cicadafront.config import model as config_model
+from cicadafront.peer import failures
 
 KEY = "op/config"
 # Time within which an accepted configuration must be active everywhere.
@@ -175,7 +176,10 @@
 
     def call(self, instance, method, body, timeout):
         self.fleet.calls += 1
-        answer = self.fleet.handlers[instance][method](self.here, body)
+        handler = self.fleet.handlers[instance].get(method)
+        if handler is None:
+            return defer.fail(failures.call_error("method_unknown", method))
+        answer = handler(self.here, body)
         if not self.fleet.call_seconds:
             return defer.succeed(answer)
         done = defer.Deferred()
@@ -273,6 +277,19 @@
         fleet.run(IN_FORCE_SECONDS)
         self.assertEqual(fleet.revisions, [3, 3, 3])
 
+    def test_peers_of_an_earlier_version(self):
+        fleet = Fleet(3)
+        for store in fleet.stores:
+            store.write(b"1")
+        fleet.start()
+        fleet.stores[2].take_down()
+        for peer in ("n0", "n1"):
+            del fleet.handlers[peer][fetch.PAGE_METHOD]
+        for store in fleet.stores[:2]:
+            store.write(b"2")
+        fleet.run(2 * follow.PEER_POLL_SECONDS)
+        self.assertEqual(fleet.revisions, [2, 2, 2])
+
     def test_unexpected_error_does_not_end_the_watch(self):
         fleet = Fleet(1)
         fleet.stores[0].write(b"1")
