--- a/src/cicadafront/config/follow.py
+++ b/src/cicadafront/config/follow.py
@@ -6,9 +6,8 @@
 revision fetches the document from one with a newer revision (`config.fetch`),
 independently of its own watch. `config.catchup` tracks the newer instances.
 
-A document may take seconds on the link of an instance. One that is known is
-therefore not read again: watches continue from its version in the store, which
-instances tell each other with the document.
+Instances tell each other the version of the document in the store, so that a
+document from a peer is not read again (`config.stored`).
 """
 
 import random
@@ -17,11 +16,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import defer
 from twisted.python import failure
 
 from cicadafront import errors, loops, ports
-from cicadafront.config import catchup, current, fetch, watchers
+from cicadafront.config import catchup, current, fetch, stored, watchers
 from cicadafront.config import model as config_model
 from cicadafront.telemetry import logs
 
@@ -70,12 +68,6 @@
 # Interval at which such an instance reads the store nevertheless, in case it
 # answers no watcher. The result may be seconds old.
 STALE_READ_SECONDS = 10.0
-# A larger document is not read then; a short watch tells of a newer version.
-MAX_STALE_READ_BYTES = 16 * 1024
-# Duration of a watch that tells whether the store answers. After some failures
-# in a row the document is read, in case that only watches get no answer.
-PROBE_SECONDS = 0.1
-MAX_FAILED_PROBES = 2
 # Watchers that a broadcast is taken to stand for. Each instance calls one of
 # them, so that the calls are spread over all watchers.
 ASKED_WATCHERS = 8
@@ -89,7 +81,6 @@
 _REVISION = struct.Struct("!Q")
 
 Decode = Callable[[bytes], config_model.Configuration]
-ReadStale = Callable[[str], "defer.Deferred[ports.Versioned | None]"]
 
 _log = logs.Log("config")
 
@@ -104,9 +95,7 @@
     """Keeps the configuration of this instance up to date.
 
     Attributes:
-        connected: Whether the store answered the last completed call.
-        answered_at: Time of the store's last answer in seconds, None before
-            the first.
+        stored: The document in the store.
         newer_peers: The instances that run a newer revision.
         peer_documents: Exchanges documents with other instances.
 
@@ -150,22 +139,25 @@
         revisions: ports.Revisions,
         calls: ports.PeerCalls,
         held: current.CurrentConfiguration,
-        read_stale: ReadStale | None = None,
+        read_stale: stored.ReadStale | None = None,
         on_store_recovered: Callable[[], None] = lambda: None,
         reachable: catchup.Reachable = lambda instance: True,
         isolated: Callable[[], bool] = lambda: False,
         wall: Callable[[], float] = time.time,
         era: Callable[[], int] = lambda: 0,
     ):
-        self.connected = False
-        self.answered_at: float | None = None
+        self.stored = stored.StoredDocument(
+            key,
+            clock=clock,
+            store=store,
+            read_stale=read_stale or store.get,
+            on_recovered=on_store_recovered,
+        )
         self.newer_peers = catchup.NewerPeers(rng)
         self._instance = instance
-        self._key = key
         self._decode = decode
         self._clock = clock
         self._rng = rng
-        self._store = store
         self._directory = directory
         self._broadcaster = broadcaster
         self._revisions = revisions
@@ -176,19 +168,14 @@
             self._on_document,
         )
         self._held = held
-        self._read_stale = read_stale or store.get
-        self._on_store_recovered = on_store_recovered
         self._reachable = reachable
         self._isolated = isolated
         self._watches = True
         self._wall = wall
         self._era = era
         self._document = b""
-        # Newest version of the key that was read, and that of the document in
-        # force; 0 if it is not known.
-        self._version = 0
+        # Version of the document in the store; 0 if it is not known.
         self._document_version = 0
-        self._failed_probes = 0
         self._announced_revision = 0
         self._started_at = 0.0
         self._watch_started_at = 0.0
@@ -227,7 +214,7 @@
 
         The active configuration stays, since it may be newer than the copy.
         """
-        self._version = self._document_version = 0
+        self.stored.version = self._document_version = 0
 
     # Updates from the store.
 
@@ -245,42 +232,20 @@
             return await self._read_and_watch()
         except errors.StoreUnavailableError:
             # The loop logs the reason.
-            self.connected = False
+            self.stored.connected = False
             raise
 
     async def _read_sometimes(self) -> None:
-        answered = self.answered_at
+        answered = self.stored.answered_at
         now = self._clock.seconds()
-        if answered is None or now - answered < STALE_READ_SECONDS:
-            return
-        if self._version and len(self._document) > MAX_STALE_READ_BYTES:
-            await self._probe()
-            return
-        found = await self._read_stale(self._key)
-        self._on_store_answer()
-        if found is not None and found.version > self._version:
-            self._apply_stored(found)
-
-    async def _probe(self) -> None:
-        """Reads the document if it is newer than the known version."""
-        self._failed_probes += 1
-        found = await self._store.watch(self._key, self._version, PROBE_SECONDS)
-        self._on_store_answer()
-        self._apply_stored(found)
+        if answered is not None and now - answered >= STALE_READ_SECONDS:
+            self._apply_stored(await self.stored.check(len(self._document)))
 
     async def _read_and_watch(self) -> float:
-        if not self._version or self._failed_probes >= MAX_FAILED_PROBES:
-            self._failed_probes = 0
-            found = await self._store.get(self._key)
-            self._on_store_answer()
-            self._apply_stored(found)
-        elif not self.connected:
-            await self._probe()
+        self._apply_stored(await self.stored.connect())
         wait = self._watch_seconds()
         self._watch_started_at = started_at = self._clock.seconds()
-        found = await self._store.watch(self._key, self._version, wait)
-        self._on_store_answer()
-        if self._apply_stored(found):
+        if self._apply_stored(await self.stored.watch(wait)):
             return 0.0
         if self._clock.seconds() - started_at >= wait / 2:
             return 0.0
@@ -289,7 +254,10 @@
         return EARLY_ANSWER_PAUSE_SECONDS
 
     def _should_watch(self) -> bool:
-        if not (self.connected and self._held.revision) or self._isolated():
+        if (
+            not (self.stored.connected and self._held.revision)
+            or self._isolated()
+        ):
             return True
         return self._instance in self._watchers()
 
@@ -318,23 +286,11 @@
         """Applies the store's document; returns whether it was newer."""
         if found is None:
             return False
-        self._version = found.version
         applied = self._apply(found.value, "store")
         if found.value == self._document:
             self._document_version = found.version
         return applied
 
-    def _on_store_answer(self) -> None:
-        now = self._clock.seconds()
-        before, self.answered_at = self.answered_at, now
-        self._failed_probes = 0
-        if self.connected:
-            return
-        self.connected = True
-        silent = 0.0 if before is None else now - before
-        _log.info("store is reachable.", silent_seconds=round(silent, 3))
-        self._on_store_recovered()
-
     # Updates from peers.
 
     def _poll_peers(self) -> float | None:
@@ -346,12 +302,13 @@
         self.newer_peers.discard_until(self._held.revision)
         documents = self.peer_documents
         if self.newer_peers.since is None:
-            if not self.connected and not documents.calls_in_flight:
+            if not self.stored.connected and not documents.calls_in_flight:
                 documents.fetch(self._random_peer(), 0)
             return None
         now = self._clock.seconds()
         lag = now - self.newer_peers.since
-        if self.connected and self._watches and lag < WATCH_LAG_SECONDS:
+        watching = self.stored.connected and self._watches
+        if watching and lag < WATCH_LAG_SECONDS:
             return WATCH_LAG_SECONDS - lag
         waited = now - documents.called_at
         if documents.calls_in_flight and waited < NEXT_PEER_SECONDS:
@@ -367,8 +324,9 @@
             return
         if not self._activate(new, fetched.document, fetched.source):
             return
-        if fetched.era == self._era() and fetched.version > self._version:
-            self._version = self._document_version = fetched.version
+        version = fetched.version
+        if fetched.era == self._era() and version > self.stored.version:
+            self.stored.version = self._document_version = version
         self._schedule_watch_check()
 
     def _random_peer(self) -> str | None:
@@ -377,7 +335,7 @@
 
     def _schedule_watch_check(self) -> None:
         """Renews the watch unless it soon delivers the revision as well."""
-        if self.connected and self._watches:
+        if self.stored.connected and self._watches:
             _cancel(self._watch_check_timer)
             self._watch_check_timer = self._clock.callLater(
                 STALLED_WATCH_SECONDS,
@@ -386,8 +344,8 @@
             )
 
     def _renew_stalled_watch(self, started_at: float) -> None:
-        if self._watch_started_at == started_at and self.connected:
-            self.connected = False
+        if self._watch_started_at == started_at and self.stored.connected:
+            self.stored.connected = False
             _log.warning(
                 "store watch has stalled; renewing it.",
                 watch_seconds=round(self._clock.seconds() - started_at, 3),
@@ -476,7 +434,7 @@
         return None
 
     def _on_applied(self, new: config_model.Configuration, source: str) -> None:
-        answered = self.answered_at
+        answered = self.stored.answered_at
         now = self._clock.seconds()
         _log.info(
             "a new configuration is active.",
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -645,7 +645,7 @@
 
     def _store_silent_seconds(self) -> float:
         """Returns the seconds since the follower last read from the store."""
-        since = self.follower.answered_at
+        since = self.follower.stored.answered_at
         return self.reactor.seconds() - (
             self._started if since is None else since
         )
