Count as ready only while the listener for callers is open

A listener that was lost is reopened after pauses of up to 30 s, and the health check answered 200 meanwhile. Change: the readiness has a further reason, the closed listener. Evidence: tests.sidecar.test_deployment, test_ready_although_the_listener_for_callers_is_closed, gave (200, 200) before and gives (200, 503) now; the row of tests.sidecar.test_readiness could not be built before.

--- a/src/cicadafront/daemon/main.py
+++ b/src/cicadafront/daemon/main.py
@@ -158,6 +158,7 @@
     _log.info("started.", incarnation=built.options.incarnation)
     daemon = root.Daemon(reactor, built.options, built.build)
     built.is_down = daemon.calls.is_down
+    built.accepts_callers = lambda: daemon.accepts_callers
     reload.SettingsFile(
         path, reactor, built.loops, instance_settings, built.apply_settings
     ).start()
--- a/src/cicadafront/daemon/root.py
+++ b/src/cicadafront/daemon/root.py
@@ -358,6 +358,11 @@
             hand_over=self._fleet.hand_over,
         )
 
+    @property
+    def accepts_callers(self) -> bool:
+        """Whether the listener for callers is open."""
+        return self._edge_listener.open
+
     @property
     def edge_port(self) -> int:
         """TCP port for callers; valid after the start."""
--- a/src/cicadafront/daemon/supervisor.py
+++ b/src/cicadafront/daemon/supervisor.py
@@ -145,6 +145,11 @@
         self._listening_port: Any = None
         self._restart_call: Any = None
 
+    @property
+    def open(self) -> bool:
+        """Whether connections are accepted."""
+        return self._listening_port is not None
+
     def start(self) -> None:
         """Starts listening."""
         self._listening_port = self._reactor.listenTCP(
--- a/src/cicadafront/sidecar/assembly.py
+++ b/src/cicadafront/sidecar/assembly.py
@@ -169,8 +169,9 @@
         self._has_joined = False
         self._confirmation = confirmation.Confirmation()
         self._started = reactor.seconds()
-        # Replaced by the caller as soon as the links exist.
+        # Replaced by the caller as soon as links and listeners exist.
         self.is_down: Callable[[str], bool] = lambda _: False
+        self.accepts_callers: Callable[[], bool] = lambda: True
 
     def build(self, calls: ports.PeerCalls) -> root.Fleet:
         """Creates the components; a `root.FleetBuilder`."""
@@ -566,6 +567,7 @@
             leaving=self.leaving,
             age=self.reactor.seconds() - self._started,
             evacuations_known=self.rules.known,
+            accepts_callers=self.accepts_callers(),
         ).readiness()
 
     def _routed_services(self) -> set[str]:
--- a/src/cicadafront/sidecar/readiness.py
+++ b/src/cicadafront/sidecar/readiness.py
@@ -22,6 +22,7 @@
     JOINING = "it has not received the state of the fleet"
     UNINFORMED = "it does not know which data centres are evacuated"
     UNROUTABLE = "it knows no target of some service"
+    CLOSED = "its listener for callers is not open"
 
 
 @attrs.frozen
@@ -36,6 +37,7 @@
         leaving: Whether a planned stop is in progress.
         age: Seconds since the start of the process.
         evacuations_known: Whether it knows which data centres are evacuated.
+        accepts_callers: Whether its listener for callers is open.
     """
 
     configured: bool
@@ -44,11 +46,14 @@
     leaving: bool
     age: float
     evacuations_known: bool = True
+    accepts_callers: bool = True
 
     def readiness(self) -> Readiness:
         """Returns whether the instance is ready, or why not."""
         if self.leaving:
             return Readiness.LEAVING
+        if not self.accepts_callers:
+            return Readiness.CLOSED
         if not self.configured:
             return Readiness.UNCONFIGURED
         if not self.evacuations_known:
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -102,10 +102,12 @@
         self.reactor.factories[-1].doStop()
         self.reactor.advance(supervisor.Backoff.INITIAL_SECONDS)
         self.assertEqual(len(self.reactor.factories), 1)
+        self.assertFalse(self.listener.open)
         self.reactor.taken = False
         self.reactor.advance(2 * supervisor.Backoff.INITIAL_SECONDS)
         self.assertEqual(len(self.reactor.factories), 2)
         self.assertEqual(self.listener.port, 7)
+        self.assertTrue(self.listener.open)
 
     def test_stopped_listener_stays_closed(self):
         self.listener.stop()
--- a/tests/sidecar/test_deployment.py
+++ b/tests/sidecar/test_deployment.py
@@ -72,6 +72,7 @@
         built = assembly.SidecarAssembly(reactor, self.settings)
         self.daemon = root.Daemon(reactor, built.options, built.build)
         built.is_down = self.daemon.calls.is_down
+        built.accepts_callers = lambda: self.daemon.accepts_callers
         self.built = built
         self.number = before.number if before else 0
         # Number of the start of the target.
@@ -533,6 +534,15 @@
         self.assertEqual(self.run_test(crash_and_restart()), [refused] * 4)
         self.assertEqual(len(crashed), 2)
 
+    def test_ready_although_the_listener_for_callers_is_closed(self):
+        async def close():
+            before = await self.one.call("readiness", "/-/ready")
+            await defer.maybeDeferred(self.one.daemon._edge_listener.stop)
+            after = await self.one.call("readiness", "/-/ready")
+            return before[0], after[0]
+
+        self.assertEqual(self.run_test(close()), (200, 503))
+
     def test_planned_stop(self):
         async def stop():
             ready = await self.one.call("readiness", "/-/ready")
--- a/tests/sidecar/test_readiness.py
+++ b/tests/sidecar/test_readiness.py
@@ -23,6 +23,7 @@
         [
             ("all_known", {}, "READY"),
             ("leaving", {"leaving": True}, "LEAVING"),
+            ("listener_lost", {"accepts_callers": False}, "CLOSED"),
             ("no_configuration", {"configured": False}, "UNCONFIGURED"),
             (
                 "no_configuration_late",
